--- a/src/main/java/marlcroft/adapter/Adapter.java
+++ b/src/main/java/kelphollow/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package marlcroft.adapter;
+package kelphollow.adapter;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -8,10 +8,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import marlcroft.Control;
-import marlcroft.ControlApi;
-import marlcroft.ControlApi.Action;
-import marlcroft.ControlApi.Event;
+import kelphollow.decision.Control;
+import kelphollow.decision.ControlApi;
+import kelphollow.decision.ControlApi.Action;
+import kelphollow.decision.ControlApi.Event;
 
 /** Turns wire batches into events of the module and its actions into wire replies. It decides nothing. */
 final class Adapter {
--- a/src/main/java/marlcroft/adapter/Json.java
+++ b/src/main/java/kelphollow/adapter/Json.java
@@ -1,4 +1,4 @@
-package marlcroft.adapter;
+package kelphollow.adapter;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/marlcroft/adapter/Main.java
+++ b/src/main/java/kelphollow/adapter/Main.java
@@ -1,4 +1,4 @@
-package marlcroft.adapter;
+package kelphollow.adapter;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -8,14 +8,14 @@
 import java.io.FileDescriptor;
 import java.nio.charset.StandardCharsets;
 
-/** Command line: {@code java -jar marlcroft.jar adapter}. */
+/** Command line: {@code java -jar kelphollow.jar adapter}. */
 public final class Main {
     private Main() { }
 
     /** Runs the adapter on standard input and output; a wrong command line prints the usage and exits 2. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar marlcroft.jar adapter");
+            System.err.println("usage: java -jar kelphollow.jar adapter");
             System.exit(2);
         }
         int code = run(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16),
@@ -37,7 +37,7 @@
             }
             return 0;
         } catch (Adapter.BadInput | IOException e) {
-            err.println("marlcroft adapter: line " + number + ": " + e.getMessage().replace('\n', ' '));
+            err.println("kelphollow adapter: line " + number + ": " + e.getMessage().replace('\n', ' '));
             return 1;
         }
     }
--- a/src/main/java/marlcroft/adapter/SettingsReader.java
+++ b/src/main/java/kelphollow/adapter/SettingsReader.java
@@ -1,9 +1,9 @@
-package marlcroft.adapter;
+package kelphollow.adapter;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import marlcroft.ControlApi;
+import kelphollow.decision.ControlApi;
 
 /** Reads the settings of an instance from the wire's first message. Unknown keys are skipped. */
 final class SettingsReader {
--- a/src/main/java/marlcroft/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -1,7 +1,7 @@
-package marlcroft;
+package kelphollow.decision;
 
 import java.util.*;
-import marlcroft.ControlApi.*;
+import kelphollow.decision.ControlApi.*;
 
 /**
  * All decisions of one host's instance. Its interface is in {@code ControlApi.java}.
--- a/src/main/java/marlcroft/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -1,4 +1,4 @@
-package marlcroft;
+package kelphollow.decision;
 
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/marlcroft/adapter/AdapterTest.java
+++ b/src/test/java/kelphollow/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package marlcroft.adapter;
+package kelphollow.adapter;
 
 import static org.junit.jupiter.api.Assertions.*;
 
@@ -46,7 +46,7 @@
             String[] r = run("{\"at_time\":1,\"parts\":[]}", bad);
             assertEquals("1", r[0]);
             assertEquals("{\"parts\":[]}\n", r[1], "nothing half written");
-            assertTrue(r[2].startsWith("marlcroft adapter: line 2: "), r[2]);
+            assertTrue(r[2].startsWith("kelphollow adapter: line 2: "), r[2]);
             assertEquals(1, r[2].strip().split("\n").length);
         }
         String[] r = run(START, batch("[\"ENDPOINTS\",9,2,\"Complete\"]"));
--- a/src/test/java/marlcroft/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -1,9 +1,9 @@
-package marlcroft;
+package kelphollow.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.List;
-import marlcroft.ControlApi.*;
+import kelphollow.decision.ControlApi.*;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path and the rules, driven by events alone. */
--- a/src/test/java/marlcroft/ExampleTest.java
+++ b/src/test/java/kelphollow/decision/ExampleTest.java
@@ -1,10 +1,10 @@
-package marlcroft;
+package kelphollow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
-import marlcroft.ControlApi.*;
+import kelphollow.decision.ControlApi.*;
 import org.junit.jupiter.api.Test;
 
 /** The example of the README, as a user would write it. */
--- a/src/test/java/marlcroft/LineLimitsTest.java
+++ b/src/test/java/kelphollow/decision/LineLimitsTest.java
@@ -1,4 +1,4 @@
-package marlcroft;
+package kelphollow.decision;
 
 import static org.junit.jupiter.api.Assertions.*;
 
@@ -10,7 +10,7 @@
 /** The operators run no module past these limits. */
 class LineLimitsTest {
     @Test void moduleStaysWithinItsLines() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/marlcroft/Control.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/kelphollow/decision/Control.java"));
         assertTrue(lines.size() > 300, "the module is there");
         long count = lines.stream().filter(l -> !l.isBlank()).count();
         assertTrue(count <= 850, count + " lines");
--- a/src/test/java/marlcroft/Rig.java
+++ b/src/test/java/kelphollow/decision/Rig.java
@@ -1,10 +1,10 @@
-package marlcroft;
+package kelphollow.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import marlcroft.ControlApi.*;
+import kelphollow.decision.ControlApi.*;
 
 /** Drives one instance by events and keeps what it did. */
 final class Rig {
