--- a/src/main/java/kelphollow/adapter/Adapter.java
+++ b/src/main/java/kelphollow/adapter/Adapter.java
@@ -8,15 +8,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import kelphollow.protocol.json.Json;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi;
 import kelphollow.decision.ControlApi.Action;
 import kelphollow.decision.ControlApi.Event;
 
 /** Turns wire batches into events of the module and its actions into wire replies. It decides nothing. */
-final class Adapter {
+public final class Adapter {
     /** The input breaks the wire's form; the message names the fault. */
-    static final class BadInput extends Exception {
+    public static final class BadInput extends Exception {
         private static final long serialVersionUID = 1L;
 
         BadInput(String message) {
@@ -223,7 +224,7 @@
         } else if (action instanceof ControlApi.SetTimer a) {
             message(out, "SET_TIMER", a.at(), a.name());
         } else if (action instanceof ControlApi.Refuse a) {
-            message(out, "DENY", a.id());
+            message(out, "DENY", a.id(), a.after());
         } else if (action instanceof ControlApi.Fail a) {
             message(out, "SURRENDER", a.id());
         } else if (action instanceof ControlApi.Cancel a) {
--- a/src/main/java/kelphollow/adapter/SettingsReader.java
+++ b/src/main/java/kelphollow/adapter/SettingsReader.java
@@ -6,10 +6,10 @@
 import kelphollow.decision.ControlApi;
 
 /** Reads the settings of an instance from the wire's first message. Unknown keys are skipped. */
-final class SettingsReader {
+public final class SettingsReader {
     private SettingsReader() { }
 
-    static ControlApi.Settings read(Map<?, ?> params) throws Adapter.BadInput {
+    public static ControlApi.Settings read(Map<?, ?> params) throws Adapter.BadInput {
         Map<?, ?> ceilings = part(params, "ceilings");
         Map<?, ?> rules = part(params, "contract");
         Map<?, ?> extra = part(params, "extra");
@@ -44,7 +44,8 @@
         return new ControlApi.Settings((int) value(params, "me"), (int) value(params, "fleet_size"),
             word(params, "my_zone", ""), value(params, "tick"), (int) value(ceilings, "most_tries"),
             (int) value(ceilings, "open_cap"), flag(ceilings, "cancel"),
-            word(params, "discovery", "automatic").equals("subscribe"), value(extra, "unit_mean"),
+            word(params, "discovery", "automatic").equals("subscribe"),
+            flag(ceilings, "retry_after") ? value(ceilings, "max_retry_after") : 0, value(extra, "unit_mean"),
             value(extra, "share_worth"), value(extra, "beyond_share"),
             List.copyOf(classes), List.copyOf(plans),
             new ControlApi.Rules(value(rules, "drain_grace"), value(rules, "cold_share"), value(rules, "cold"),
--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -129,7 +129,10 @@
             listRetry = Math.min(LIST_RETRY_MAX, 2 * listRetry);
         } else if (event instanceof ClientGone g) {
             Request r = open.get(g.id());
-            if (r != null) close(r);
+            if (r != null) {
+                callOff(r);
+                close(r);
+            }
         } else if (event instanceof AnswerStarted s) {
             Request r = open.get(s.id());
             if (r != null) r.streaming = true;
@@ -227,7 +230,7 @@
         RequestClass kind = classes.get(a.requestClass());
         Plan plan = plans.get(a.plan());
         if (kind == null || plan == null || !(a.units() >= 0)) {
-            out.add(new Refuse(a.id()));   // unknown class or plan: never ran, the others go on undisturbed
+            out.add(new Refuse(a.id(), 0));   // unknown class or plan: it never ran
             return;
         }
         largest = Math.max(Math.max(largest, settings.unitMean()), a.units());
@@ -880,11 +883,15 @@
     private void answer(Request r) {
         boolean harmless = r.proved() || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.group() == Group.ALL;
-        out.add(harmless ? new Refuse(r.in.id()) : new Fail(r.in.id()));
-        if (r.flying != null && settings.mayCancel()) out.add(new Cancel(r.in.id(), r.tries - 1));
+        out.add(harmless ? new Refuse(r.in.id(), 0) : new Fail(r.in.id()));
+        callOff(r);
         close(r);
     }
 
+    private void callOff(Request r) {
+        if (r.flying != null && settings.mayCancel()) out.add(new Cancel(r.in.id(), r.tries - 1));
+    }
+
     private void close(Request r) {
         open.remove(r.in.id());
         if (r.isHeld) {
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -29,9 +29,9 @@
                         double fallTime, double youngUnits, double keyRest, double budgetFree,
                         double budgetShare, double budgetWindow, double askEvery) { }
 
-    /** All that an instance is told at its start. */
+    /** All that an instance is told at its start. A {@code maxRetryAfter} of 0 means that clients heed no advice. */
     public record Settings(int host, int hosts, String zone, double tick, int maxAttempts, int maxOpen,
-                           boolean mayCancel, boolean listMustBeAsked, double unitMean,
+                           boolean mayCancel, boolean listMustBeAsked, double maxRetryAfter, double unitMean,
                            double shareWorth, double beyondWorth,
                            List<RequestClass> classes, List<Plan> plans, Rules rules) { }
 
@@ -87,8 +87,8 @@
     /** Send the next attempt of a request to a node; a {@code timeout} of 0 means until the client gives up. */
     public record Send(String id, String node, double timeout) implements Action { }
 
-    /** Final answer: refused, the client may safely try again. */
-    public record Refuse(String id) implements Action { }
+    /** Final answer: refused, the client may safely try again, best after so many milliseconds (0: no advice). */
+    public record Refuse(String id, double after) implements Action { }
 
     /** Final answer: failed, nothing is promised. */
     public record Fail(String id) implements Action { }
--- /dev/null
+++ b/src/main/java/kelphollow/program/AdapterCommand.java
@@ -0,0 +1,17 @@
+package kelphollow.program;
+
+import java.io.BufferedReader;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import kelphollow.adapter.Loop;
+
+/** {@code adapter}: the module on the simulator's wire, over standard input and output. */
+public final class AdapterCommand implements Main.Command {
+    @Override public int run(PrintStream out, PrintStream err) {
+        return Loop.run(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16),
+            new FileOutputStream(FileDescriptor.out), err);
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/program/Config.java
@@ -0,0 +1,136 @@
+package kelphollow.program;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import kelphollow.adapter.Adapter;
+import kelphollow.adapter.SettingsReader;
+import kelphollow.decision.ControlApi;
+import kelphollow.protocol.discovery.Members;
+import kelphollow.protocol.json.Json;
+
+/** The one place where configuration is read, checked and given its defaults. Faults name their key. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+              int dialTimeout, double idleTime, Members known, ControlApi.Settings settings) {
+    /** A fault in the configuration; the message names the key. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String message) {
+            super(message);
+        }
+    }
+
+    private static final int SOCKETS = 1024;
+    private static final double DIAL_TIMEOUT = 250;
+    private static final double IDLE_CLOSE = 15_000;
+    // Part of the settings' idle time after which a connection is retired: the node's clock may run ahead of ours.
+    private static final double IDLE_PART = 0.8;
+
+    /** Reads the file that {@code GW_CONFIG} names; single variables stand in for keys that it lacks. */
+    static Config platform(Map<String, String> environment) throws Bad {
+        String file = environment.get("GW_CONFIG");
+        if (file == null) {
+            throw new Bad("GW_CONFIG is not set");
+        }
+        Map<?, ?> json = readFile("GW_CONFIG", file);
+        Map<?, ?> settings = object(json, "settings");
+        Map<?, ?> ceilings = settings.get("ceilings") instanceof Map<?, ?> m ? m : Map.of();
+        Map<?, ?> limits = json.get("limits") instanceof Map<?, ?> m ? m : Map.of();
+        return new Config(word(json, "name", environment.get("GW_NAME")),
+            address(word(json, "listen", environment.get("GW_LISTEN")), "listen"),
+            address(word(json, "discovery", environment.get("GW_DISCOVERY")), "discovery"),
+            seed(word(json, "seed", "0")), (int) number(limits, "limits.", "sockets", SOCKETS, 16),
+            (int) number(ceilings, "settings.ceilings.", "dial_timeout", DIAL_TIMEOUT, 1),
+            IDLE_PART * number(ceilings, "settings.ceilings.", "idle_close", IDLE_CLOSE, 1), known(json),
+            settings(settings));
+    }
+
+    static Map<?, ?> readFile(String key, String file) throws Bad {
+        try {
+            if (Json.parse(Files.readString(Path.of(file))) instanceof Map<?, ?> map) {
+                return map;
+            }
+            throw new Bad(key + ": " + file + " holds no JSON object");
+        } catch (IOException e) {
+            throw new Bad(key + ": " + file + ": " + e.getMessage());
+        }
+    }
+
+    static ControlApi.Settings settings(Map<?, ?> map) throws Bad {
+        for (String key : new String[] {"request_classes", "grades"}) {
+            if (!(map.get(key) instanceof java.util.List<?> list) || list.isEmpty()) {
+                throw new Bad("settings." + key + " is missing or empty");
+            }
+        }
+        for (String key : new String[] {"ceilings", "contract", "extra"}) {
+            object(map, "settings.", key);
+        }
+        number(map, "settings.", "fleet_size", Double.NaN, 1);
+        number(object(map, "settings.", "ceilings"), "settings.ceilings.", "most_tries", Double.NaN, 1);
+        number(object(map, "settings.", "contract"), "settings.contract.", "drain_grace", Double.NaN, 0);
+        try {
+            ControlApi.Settings settings = SettingsReader.read(map);
+            new kelphollow.decision.Control(settings, 0, 0);   // the module checks the rest
+            return settings;
+        } catch (Adapter.BadInput | IllegalArgumentException e) {
+            throw new Bad(e.getMessage().startsWith("settings") ? e.getMessage() : "settings: " + e.getMessage());
+        }
+    }
+
+    private static Members known(Map<?, ?> json) throws Bad {
+        if (json.get("known") == null) {
+            return new Members(-1, true, java.util.List.of());
+        }
+        try {
+            return Members.read(json.get("known"));
+        } catch (IllegalArgumentException e) {
+            throw new Bad("known: " + e.getMessage());
+        }
+    }
+
+    private static long seed(String hex) throws Bad {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new Bad("seed: '" + hex + "' is not a number of up to 16 hex digits");
+        }
+    }
+
+    static InetSocketAddress address(String text, String key) throws Bad {
+        try {
+            return Members.address(text, key);
+        } catch (IllegalArgumentException e) {
+            throw new Bad(e.getMessage());
+        }
+    }
+
+    static Map<?, ?> object(Map<?, ?> map, String key) throws Bad {
+        return object(map, "", key);
+    }
+
+    static Map<?, ?> object(Map<?, ?> map, String path, String key) throws Bad {
+        if (map.get(key) instanceof Map<?, ?> value) {
+            return value;
+        }
+        throw new Bad(path + key + " is missing or not an object");
+    }
+
+    static String word(Map<?, ?> map, String key, String absent) throws Bad {
+        Object value = map.get(key) == null ? absent : map.get(key);
+        if (value instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw new Bad(key + (value == null ? " is missing" : " is not a text"));
+    }
+
+    static double number(Map<?, ?> map, String path, String key, double absent, double least) throws Bad {
+        Object value = map.get(key) == null ? (Double) absent : map.get(key);
+        if (value instanceof Double d && d >= least) {
+            return d;
+        }
+        throw new Bad(path + key + (map.get(key) == null ? " is missing" : " must be a number of at least " + least));
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/program/Main.java
@@ -0,0 +1,60 @@
+package kelphollow.program;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line: {@code java -jar kelphollow.jar COMMAND}. */
+public final class Main {
+    /** What a sub-command does; the result is the exit code. */
+    interface Command {
+        int run(PrintStream out, PrintStream err) throws Exception;
+    }
+
+    static final int USAGE = 2;
+
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "adapter", impl = AdapterCommand.class),
+        @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "version", impl = Version.class)})
+    private Command command;
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        if (System.getProperty("java.util.logging.SimpleFormatter.format") == null) {
+            System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+        }
+        System.exit(run(List.of(args), System.out, System.err));
+    }
+
+    /** Runs one command line; a wrong one prints the usage, bad configuration its faulty key, and both give 2. */
+    static int run(List<String> args, PrintStream out, PrintStream err) {
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("kelphollow: " + e.getMessage());
+            err.println("usage: java -jar kelphollow.jar serve [--config FILE] | adapter"
+                + " | check-config [--config FILE] | version");
+            return USAGE;
+        }
+        try {
+            return main.command.run(out, err);
+        } catch (Config.Bad e) {
+            err.println("kelphollow: configuration: " + e.getMessage());
+            return USAGE;
+        } catch (Exception e) {
+            err.println("kelphollow: " + e);
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/program/Version.java
@@ -0,0 +1,12 @@
+package kelphollow.program;
+
+import java.io.PrintStream;
+
+/** {@code version}: what this is. */
+public final class Version implements Main.Command {
+    @Override public int run(PrintStream out, PrintStream err) {
+        String version = Version.class.getPackage().getImplementationVersion();
+        out.println("kelphollow " + (version == null ? "(not packaged)" : version));
+        return 0;
+    }
+}
--- a/src/main/java/kelphollow/adapter/Json.java
+++ b/src/main/java/kelphollow/protocol/json/Json.java
@@ -1,4 +1,4 @@
-package kelphollow.adapter;
+package kelphollow.protocol.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -9,18 +9,18 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads one JSON value of a line into lists, maps, strings, numbers and booleans. */
-final class Json {
+/** Reads one JSON value into lists, maps, strings, numbers and booleans. */
+public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
     private Json() { }
 
-    static Object parse(String line) throws IOException {
+    public static Object parse(String line) throws IOException {
         try (JsonParser p = FACTORY.createParser(line)) {
             p.nextToken();
             Object value = read(p);
             if (p.nextToken() != null) {
-                throw new IOException("more than one value on the line");
+                throw new IOException("more than one value in the text");
             }
             return value;
         }
@@ -29,7 +29,7 @@
     private static Object read(JsonParser p) throws IOException {
         JsonToken token = p.currentToken();
         if (token == null) {
-            throw new IOException("the line holds no value");
+            throw new IOException("the text holds no value");
         }
         switch (token) {
             case START_OBJECT -> {
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -0,0 +1,125 @@
+package kelphollow.protocol.resp;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import kelphollow.decision.Control;
+import kelphollow.decision.ControlApi.NodeEntry;
+import kelphollow.decision.ControlApi.Phase;
+import kelphollow.decision.ControlApi.Settings;
+import kelphollow.routing.Attempt;
+import kelphollow.routing.Backend;
+import kelphollow.routing.Core;
+import kelphollow.routing.Member;
+import kelphollow.routing.Ticker;
+
+/**
+ * Plays requests through a scheduler of its own, without sockets, before the real one listens. Guards against
+ * the first clients waiting while classes are loaded and code is compiled.
+ */
+public final class RespWarmup {
+    private static final int REQUESTS = 3_000;
+    private static final long LONGEST_NANOS = 2_000_000_000L;
+    private static final int NODES = 4;
+    private static final String ANSWER = "*3\r\n$5\r\nvalue\r\n$6\r\ncost=2\r\n$10\r\ninflight=3\r\n";
+
+    private RespWarmup() { }
+
+    /** Warms up for two seconds at most; returns how many requests were answered with a value. */
+    public static int run(Settings settings, long seed) {
+        long end = System.nanoTime() + LONGEST_NANOS;
+        Loopless world = new Loopless();
+        Core core = new Core(new Control(settings, seed, world.now()), world, world);
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            members.add(new Member(new NodeEntry("n" + i, "", i, Phase.HEALTHY, 0), new InetSocketAddress(0)));
+        }
+        core.learn(members, true, true);
+        core.start(() -> { });
+        EmbeddedChannel client = new EmbeddedChannel();
+        new RespFront(core, world).accept(client);
+        int served = 0;
+        for (int i = 0; i < REQUESTS && System.nanoTime() < end; i++) {
+            var kind = settings.classes().get(i % settings.classes().size());
+            var plan = settings.plans().get(i % settings.plans().size());
+            String values = "c=" + kind.name() + ",t=" + plan.name() + ",d=1000,volume=" + i % 40
+                + ",units=2,shard=" + i % NODES + ",hosts=2";
+            client.writeInbound(ascii("*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$" + values.length() + "\r\n"
+                + values + "\r\n"));
+            world.pass(i % 7 == 0 ? 60 : 3);
+            ByteBuf reply;
+            while ((reply = client.readOutbound()) != null) {
+                served += reply.isReadable() && reply.getByte(reply.readerIndex()) == '$' ? 1 : 0;
+                reply.release();
+            }
+        }
+        client.finishAndReleaseAll();
+        world.node.finishAndReleaseAll();
+        return served;
+    }
+
+    private static ByteBuf ascii(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    /** A clock that is moved by hand, and nodes that answer when it moves. */
+    private static final class Loopless implements Ticker, Backend {
+        private record Due(double at, Runnable task) { }
+
+        final EmbeddedChannel node = new EmbeddedChannel();
+        private final List<Due> dues = new ArrayList<>();
+        private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+        private double now = 1_000;
+
+        Loopless() {
+            Resp.install(node);
+        }
+
+        @Override public double now() {
+            return now;
+        }
+
+        @Override public Timeout after(double millis, Runnable task) {
+            Due due = new Due(now + millis, task);
+            dues.add(due);
+            return () -> dues.remove(due);
+        }
+
+        @Override public void start(Attempt attempt) {
+            waiting.add(attempt);
+        }
+
+        @Override public void abandon(Attempt attempt) {
+            waiting.remove(attempt);
+        }
+
+        @Override public void retire(String name) { }
+
+        void pass(double millis) {
+            now += millis;
+            for (Attempt attempt; (attempt = waiting.poll()) != null; ) {
+                if (attempt.mayWrite()) {
+                    RespCommand command = (RespCommand) attempt.request().message();
+                    node.writeOutbound(command.forNode(attempt.remaining()));
+                    ReferenceCountUtil.release(node.readOutbound());
+                    node.writeInbound(ascii(ANSWER));
+                    RedisMessage answer = node.readInbound();
+                    attempt.ended(RespBackend.read(answer));
+                    ReferenceCountUtil.release(answer);
+                }
+            }
+            for (Due due : List.copyOf(dues)) {
+                if (due.at <= now && dues.remove(due)) {
+                    due.task.run();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -0,0 +1,80 @@
+package kelphollow.routing;
+
+/** One sending of a request to one node. Backends hold it; only {@link Core} changes it. */
+public final class Attempt {
+    /** Free for the backend that carries it. */
+    public Object carrier;
+    final int number;
+    final double sentAt;
+    Ticker.Timeout timeout;
+    private final Core core;
+    private final Request request;
+    private final Member member;
+    private final double giveUpAt;
+    private boolean out = true;
+    private double beganAt = -1;
+
+    Attempt(Core core, Request request, int number, Member member, double sentAt, double giveUpAt) {
+        this.core = core;
+        this.request = request;
+        this.number = number;
+        this.member = member;
+        this.sentAt = sentAt;
+        this.giveUpAt = giveUpAt;
+    }
+
+    public Request request() {
+        return request;
+    }
+
+    public Member member() {
+        return member;
+    }
+
+    /** How long it will be waited for from now on, in milliseconds. */
+    public double remaining() {
+        return giveUpAt - core.now();
+    }
+
+    public boolean isOut() {
+        return out;
+    }
+
+    /**
+     * To be asked when a connection is up and before the first byte is written. Guards against a drain, a
+     * cancellation or a deadline that came while the connection was being dialled.
+     */
+    public boolean mayWrite() {
+        return out && !request.over && remaining() > 0 && core.wantsWork(member.entry().node());
+    }
+
+    /** The answer has begun to be passed on to the client: from here on no deadline runs. */
+    public void began() {
+        if (out && beganAt < 0) {
+            beganAt = core.now();
+            core.began(this);
+        }
+    }
+
+    /** Ends the attempt; later calls are ignored, since an abandoned connection may still report its end. */
+    public void ended(Result result) {
+        if (out) {
+            core.ended(this, result);
+        }
+    }
+
+    /** Takes the attempt out of play; true the first time. */
+    boolean finish() {
+        boolean first = out;
+        out = false;
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        return first;
+    }
+
+    /** Time to the answer, or to its beginning where it was streamed: a slow client is no slow node. */
+    double took() {
+        return (beganAt < 0 ? core.now() : beganAt) - sentAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -0,0 +1,232 @@
+package kelphollow.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import kelphollow.decision.Control;
+import kelphollow.decision.ControlApi.*;
+
+/**
+ * Requests, attempts and outcomes. Feeds what happens to the decision module, carries out what it decides,
+ * and sees to it that each request gets exactly one final answer. Knows no wire; lives on one event loop.
+ */
+public final class Core {
+    private static final Logger LOG = Logger.getLogger(Core.class.getName());
+
+    private final Control control;
+    private final Ticker ticker;
+    private final Backend backend;
+    private final Map<String, Request> open = new HashMap<>();
+    private final Map<String, Attempt> out = new HashMap<>();
+    private final Map<String, Member> members = new HashMap<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private Directory directory = () -> { };
+    private boolean busy;
+    private long ids;
+
+    public Core(Control control, Ticker ticker, Backend backend) {
+        this.control = control;
+        this.ticker = ticker;
+        this.backend = backend;
+    }
+
+    /** Starts the module; its list comes from this directory from now on. */
+    public void start(Directory from) {
+        directory = from;
+        busy = true;
+        carryOut(control.start());
+        busy = false;
+        drainEvents();
+    }
+
+    double now() {
+        return ticker.now();
+    }
+
+    // ---------------------------------------------------------------- fronts
+
+    /**
+     * Takes a request. The id in {@code facts} is replaced by one of the core's own, since a client's id
+     * proves nothing: two clients may send the same.
+     */
+    public Request take(Arrival facts, Object message, Caller caller) {
+        String id = Long.toString(ids++, 36);
+        Arrival own = new Arrival(id, facts.requestClass(), facts.plan(), facts.key(), facts.deadline(),
+            facts.volume(), facts.units(), facts.cell(), facts.hosts());
+        Request request = new Request(own, message, caller);
+        open.put(id, request);
+        tell(own);
+        return request;
+    }
+
+    /** The client has left: nothing is owed any more and what is out for it is called off. */
+    public void gone(Request request) {
+        if (!request.over) {
+            close(request);
+            tell(new ClientGone(request.facts().id()));
+        }
+    }
+
+    public int openRequests() {
+        return open.size();
+    }
+
+    // ---------------------------------------------------------------- the node list
+
+    public void learn(List<Member> news, boolean whole, boolean persisted) {
+        List<String> retired = new ArrayList<>();
+        if (whole) {
+            Map<String, Member> before = new HashMap<>(members);
+            members.clear();
+            news.forEach(m -> before.remove(m.entry().node()));
+            retired.addAll(before.keySet());
+        }
+        List<NodeEntry> entries = new ArrayList<>();
+        for (Member m : news) {
+            Member old = members.put(m.entry().node(), m);
+            boolean moved = old != null
+                && (!old.address().equals(m.address()) || old.entry().born() != m.entry().born());
+            if (moved || m.entry().phase() != Phase.HEALTHY) {
+                retired.add(m.entry().node());
+            }
+            entries.add(m.entry());
+        }
+        tell(new NodeList(entries, whole, persisted));
+        retired.forEach(backend::retire);
+    }
+
+    public void listFailed() {
+        tell(new ListFailed());
+    }
+
+    boolean wantsWork(String node) {
+        Member m = members.get(node);
+        return m != null && m.entry().phase() == Phase.HEALTHY;
+    }
+
+    // ---------------------------------------------------------------- attempts
+
+    void began(Attempt attempt) {
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel();
+        }
+        tell(new AnswerStarted(attempt.request().facts().id(), attempt.number));
+    }
+
+    void ended(Attempt attempt, Result result) {
+        if (!attempt.finish()) {
+            return;
+        }
+        Request request = attempt.request();
+        out.remove(request.facts().id() + '#' + attempt.number);
+        request.last = result.outcome();
+        if (result.outcome() == Outcome.SERVED && !request.over) {
+            close(request);
+            request.caller.served(result.answer());
+        }
+        tell(new AttemptDone(request.facts().id(), attempt.number, attempt.member().entry().node(), result.outcome(),
+            attempt.took(), request.over, result.elsewhere(), result.usePercent(), result.report()));
+    }
+
+    private void giveUp(Attempt attempt, Outcome outcome) {
+        if (attempt.isOut()) {
+            backend.abandon(attempt);
+            ended(attempt, Result.of(outcome));
+        }
+    }
+
+    // ---------------------------------------------------------------- the module
+
+    /** Events that come while actions are carried out wait: the module takes one at a time. */
+    private void tell(Event event) {
+        events.add(event);
+        drainEvents();
+    }
+
+    private void drainEvents() {
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            Event event;
+            while ((event = events.poll()) != null) {
+                carryOut(control.on(now(), event));
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    private void carryOut(List<Action> actions) {
+        for (Action action : actions) {
+            if (action instanceof Send a) {
+                send(a);
+            } else if (action instanceof SetTimer a) {
+                ticker.after(a.at() - now(), () -> tell(new TimerFired(a.name())));
+            } else if (action instanceof Refuse a) {
+                Request request = conclude(a.id());
+                if (request != null) {
+                    request.caller.refused(a.after(), request.timedOut());
+                }
+            } else if (action instanceof Fail a) {
+                Request request = conclude(a.id());
+                if (request != null) {
+                    request.caller.failed(request.timedOut());
+                }
+            } else if (action instanceof Cancel a) {
+                cancel(a);
+            } else if (action instanceof Subscribe) {
+                directory.watch();
+            }
+        }
+    }
+
+    private void send(Send a) {
+        Request request = open.get(a.id());
+        Member member = members.get(a.node());
+        if (!Invariant.holds(request != null && member != null, "send of " + a.id() + " to " + a.node())) {
+            return;
+        }
+        double now = now();
+        double giveUpAt = a.timeout() > 0 ? Math.min(request.facts().deadline(), now + a.timeout())
+            : request.facts().deadline();
+        Attempt attempt = new Attempt(this, request, request.attempts.size(), member, now, giveUpAt);
+        request.attempts.add(attempt);
+        out.put(a.id() + '#' + attempt.number, attempt);
+        attempt.timeout = ticker.after(giveUpAt - now, () -> giveUp(attempt, Outcome.TIMED_OUT));
+        try {
+            backend.start(attempt);
+        } catch (RuntimeException e) {
+            // A fault in a backend costs one attempt, not the scheduler; whether it was written is not known.
+            LOG.log(Level.WARNING, "attempt at " + a.node() + " failed", e);
+            attempt.ended(Result.of(Outcome.RESET));
+        }
+    }
+
+    /** A cancel may name an attempt of a request that has had its final answer, as long as the attempt is out. */
+    private void cancel(Cancel a) {
+        Attempt attempt = out.get(a.id() + '#' + a.attempt());
+        if (attempt != null) {
+            giveUp(attempt, Outcome.CANCELLED);
+        }
+    }
+
+    private Request conclude(String id) {
+        Request request = open.get(id);
+        if (Invariant.holds(request != null && !request.over, "one final answer for " + id)) {
+            close(request);
+            return request;
+        }
+        return null;
+    }
+
+    private void close(Request request) {
+        request.over = true;
+        open.remove(request.facts().id());
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/routing/Ticker.java
@@ -0,0 +1,14 @@
+package kelphollow.routing;
+
+/** The clock and the timers of one event loop. Times are Unix milliseconds that never run backwards. */
+public interface Ticker {
+    double now();
+
+    /** Runs the task on the event loop, no sooner than after so many milliseconds and within a tick of that. */
+    Timeout after(double millis, Runnable task);
+
+    /** A task that is still to come. */
+    interface Timeout {
+        void cancel();
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -0,0 +1,55 @@
+package kelphollow.transport;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** A listening socket; each connection that comes gets its handlers from a front. */
+public final class Server {
+    // One arena for the one event loop, in chunks of 256 KiB: Netty's own sizes do not fit a small machine.
+    static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, 0, 1, 8192, 5, 0, 0, false);
+    private static final int BACKLOG = 512;
+    private final int mostConnections;
+    private Channel listener;
+    private int connections;
+
+    public Server(int mostConnections) {
+        this.mostConnections = mostConnections;
+    }
+
+    /** Opens the socket; blocks until it listens. Called from outside the event loop. */
+    public InetSocketAddress listen(EventLoop loop, InetSocketAddress address, Consumer<Channel> front) {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    if (connections >= mostConnections) {
+                        channel.close();   // descriptors are few; nothing was taken on it yet
+                        return;
+                    }
+                    connections++;
+                    channel.closeFuture().addListener(closed -> connections--);
+                    front.accept(channel);
+                }
+            })
+            .bind(address).syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Takes no new connections; those that stand go on. */
+    public void stop() {
+        if (listener != null) {
+            listener.close();
+        }
+    }
+}
