--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -48,6 +48,8 @@
     static final double SWEEP = 10;
     // Final answers leave this many ticks before the deadline, so that a late batch still holds the promise.
     static final double ANSWER_TICKS = 4;
+    // A request that no node was given is given up by this part of its time: its client may come again.
+    static final double HOLD_PART = 0.45;
     // News of use is averaged over this time, a few periods of such news.
     static final double NEWS_MEMORY = 5_000;
     // Pause before the list is asked again after a failure; doubles up to the second figure.
@@ -178,11 +180,12 @@
         RequestClass kind;
         Volume volume;
         long order;
-        double luck, arrived, aimAt, answerAt, startTag, finishTag, worth, retryAt, maybeRanSince = -1;
+        double luck, arrived, aimAt, answerAt, holdUntil, startTag, finishTag, worth, retryAt;
+        double maybeRanSince = -1;
         Node maybeRanAt;
         Attempt flying;
         int tries;
-        boolean late, isHeld, streaming, tokensSpent;
+        boolean late, isHeld, streaming, tokensSpent, reached;
 
         boolean proved() { return maybeRanSince < 0 && flying == null; }
     }
@@ -241,7 +244,10 @@
         r.luck = random.nextDouble();
         r.arrived = now;
         r.answerAt = a.deadline() - ANSWER_TICKS * settings.tick();
-        r.aimAt = Math.min(now + kind.aim(), r.answerAt);   // an impatient client has no use for a later one
+        r.holdUntil = now + HOLD_PART * (a.deadline() - now);
+        // What lacks from the class's deadline was spent on earlier tries; the aim counts from the first.
+        double spent = Math.max(0, kind.deadline() - (a.deadline() - now));
+        r.aimAt = Math.min(now + kind.aim() - spent, r.answerAt);
         String name = a.volume() == null ? "" : a.volume();
         r.volume = volumes.computeIfAbsent(name, n -> new Volume(plan, Math.max(1, a.hosts())));
         open.put(a.id(), r);
@@ -249,9 +255,13 @@
             answer(r);                     // beyond the limit by more than it can wait: it earns nothing
             return;
         }
-        tags.tag(r);
+        r.late = now >= r.aimAt;           // a repeat that may still be of some use, if a node is idle
+        if (!r.late) {
+            tags.tag(r);
+            dues.add(new Due(r.aimAt, r));
+        }
         dues.add(new Due(r.answerAt, r));
-        dues.add(new Due(r.aimAt, r));
+        dues.add(new Due(r.holdUntil, r));
         if (kind.ordered() && a.key() != null) {
             if (keyTurns.size() > 2 * open.size() + 64) {   // rested keys would pile up over the weeks
                 keyTurns.values().removeIf(t -> t.waiting.isEmpty() && t.flying == 0 && now >= t.restUntil);
@@ -453,6 +463,11 @@
             if (rate > 0) level -= units;
         }
 
+        /** How long until the store holds these units. */
+        double wait(double units) {
+            return allows(units) ? 0 : (units - level) / rate;
+        }
+
         /** True when the store cannot hold these units before the aim is missed. */
         boolean hopeless(double units, double by) {
             return rate > 0 && !allows(units) && level + (by - now) * rate < units;
@@ -733,6 +748,7 @@
         r.late = true;
         tags.giveBack(r);
         h.add(r);
+        if (r.tries == 0) answer(r);       // given up on: the client may still find help elsewhere, or later
     }
 
     private boolean mayLeave(Request r, Node n) {
@@ -842,6 +858,7 @@
             }
         }
         r.flying = null;
+        r.reached |= d.outcome() == Outcome.FULL || !d.outcome().neverRan();
         if (!d.outcome().neverRan() && r.maybeRanSince < 0) {
             r.maybeRanSince = a.sentAt;
             r.maybeRanAt = n;
@@ -852,7 +869,7 @@
         }
         if (d.ended()) {
             close(r);
-        } else if (mayRepeat(r)) {
+        } else if (mayRepeat(r) && (r.reached || now < r.holdUntil)) {
             r.retryAt = d.outcome() == Outcome.TIMED_OUT ? now : now + BACKOFF * r.tries;
             r.late |= r.retryAt + n.expected() > r.aimAt;
             if (!r.late) {
@@ -883,11 +900,23 @@
     private void answer(Request r) {
         boolean harmless = r.proved() || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.group() == Group.ALL;
-        out.add(harmless ? new Refuse(r.in.id(), 0) : new Fail(r.in.id()));
+        out.add(harmless ? new Refuse(r.in.id(), comeBack(r)) : new Fail(r.in.id()));
         callOff(r);
         close(r);
     }
 
+    /** When coming again may be of use: the limit holds the units, and what waits here may have gone. */
+    private double comeBack(Request r) {
+        double wait = around(), held = heldFor(r).size();
+        for (Node n : nodes.values()) {
+            if (n.cell == r.in.cell()) {
+                double turn = n.expected() * (1 + held / Math.max(1, n.window));
+                wait = n.usable ? Math.max(n.trickleAt - now, turn) : settings.maxRetryAfter();
+            }
+        }
+        return Math.min(settings.maxRetryAfter(), Math.max(wait, r.volume.gate.wait(r.in.units())));
+    }
+
     private void callOff(Request r) {
         if (r.flying != null && settings.mayCancel()) out.add(new Cancel(r.in.id(), r.tries - 1));
     }
@@ -917,7 +946,7 @@
         while (!dues.isEmpty() && dues.peek().at <= now) {
             Request r = dues.poll().request;
             if (open.get(r.in.id()) != r || r.streaming) continue;
-            if (now >= r.answerAt) {
+            if (now >= r.answerAt || now >= r.holdUntil && r.isHeld && !r.reached) {
                 answer(r);
             } else if (now >= r.aimAt && !r.late) {
                 if (r.isHeld) {
