--- a/src/main/java/kelphollow/adapter/Adapter.java
+++ b/src/main/java/kelphollow/adapter/Adapter.java
@@ -171,7 +171,7 @@
                 double use = optional(at(m, 8), 0);
                 return new ControlApi.AttemptDone(text(at(m, 1), "corr"), (int) number(at(m, 3), "send_no"),
                     text(at(m, 4), "target"), outcome(text(at(m, 6), "verdict")), number(at(m, 5), "took"),
-                    Boolean.TRUE.equals(at(m, 2)), optional(at(m, 7), 0), use - 1, report(at(m, 9)));
+                    Boolean.TRUE.equals(at(m, 2)), false, optional(at(m, 7), 0), use - 1, report(at(m, 9)));
             }
             case "INBOX", "PROBED" -> {
                 return null;
--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -138,6 +138,9 @@
         } else if (event instanceof AnswerStarted s) {
             Request r = open.get(s.id());
             if (r != null) r.streaming = true;
+            heard(s.id(), s.attempt());
+        } else if (event instanceof Progress p) {
+            heard(p.id(), p.attempt());
         } else if (event instanceof TimerFired && this.now >= wakeAt) {
             wakeAt = Double.POSITIVE_INFINITY;
         }
@@ -151,6 +154,11 @@
         return flush();
     }
 
+    private void heard(String id, int number) {
+        Attempt a = attempts.get(id + '#' + number);
+        if (a != null) a.heardAt = now;
+    }
+
     private List<Action> flush() {
         List<Action> actions = out;
         out = new ArrayList<>();
@@ -193,7 +201,7 @@
     private static final class Attempt {
         Request request;
         Node node;
-        double sentAt;
+        double sentAt, heardAt;
         boolean wide;
     }
 
@@ -518,9 +526,9 @@
         double silence() {
             double one = 0;
             for (Attempt a : flying.values()) {
-                if (a.sentAt > overtaken) {
-                    if (one > 0) return one > LOST * shortestAim ? now - a.sentAt : one;
-                    one = now - a.sentAt;
+                if (a.heardAt > overtaken) {
+                    if (one > 0) return one > LOST * shortestAim ? now - a.heardAt : one;
+                    one = now - a.heardAt;
                 }
             }
             return one > LOST * shortestAim ? 0 : one;
@@ -803,7 +811,7 @@
         Attempt a = new Attempt();
         a.request = r;
         a.node = n;
-        a.sentAt = now;
+        a.sentAt = a.heardAt = now;
         if (n.suspect()) n.trickleAt = now + TRICKLE;
         r.flying = a;
         attempts.put(r.in.id() + '#' + r.tries, a);
@@ -867,9 +875,13 @@
             dropTurn(r);
             return;
         }
+        if (r.streaming) {                 // cut short: its deadline runs again
+            r.streaming = false;
+            dues.add(new Due(r.answerAt, r));
+        }
         if (d.ended()) {
             close(r);
-        } else if (mayRepeat(r) && (r.reached || now < r.holdUntil)) {
+        } else if (!d.spent() && mayRepeat(r) && (r.reached || now < r.holdUntil)) {
             r.retryAt = d.outcome() == Outcome.TIMED_OUT ? now : now + BACKOFF * r.tries;
             r.late |= r.retryAt + n.expected() > r.aimAt;
             if (!r.late) {
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -71,11 +71,15 @@
     /** A streamed answer has begun; it has no deadline from here on. */
     public record AnswerStarted(String id, int attempt) implements Event { }
 
+    /** The node takes or gives a body just now: it is alive, however long the whole may last. */
+    public record Progress(String id, int attempt) implements Event { }
+
     /** An attempt ended. {@code ended}: the request is finished. {@code elsewhere}: units this node served
-     *  for the volume through other hosts since last told. {@code usePercent}: use of the volume over all
+     *  for the volume through other hosts since last told. {@code spent}: a body that cannot be had again has been
+     *  used up, so the request cannot be sent any more. {@code usePercent}: use of the volume over all
      *  hosts in percent of its plan's rate, negative when not told. {@code report}: load figures, or empty. */
     public record AttemptDone(String id, int attempt, String node, Outcome outcome, double took,
-                              boolean ended, double elsewhere, double usePercent,
+                              boolean ended, boolean spent, double elsewhere, double usePercent,
                               Map<String, Double> report) implements Event { }
 
     /** A timer asked for with {@link SetTimer} is due. */
--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -91,7 +91,7 @@
         }
     }
 
-    private static long seed(String hex) throws Bad {
+    static long seed(String hex) throws Bad {
         try {
             return Long.parseUnsignedLong(hex, 16);
         } catch (NumberFormatException e) {
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/object/S3Xml.java
@@ -0,0 +1,93 @@
+package kelphollow.protocol.object;
+
+import java.io.ByteArrayInputStream;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import javax.xml.stream.XMLInputFactory;
+import javax.xml.stream.XMLOutputFactory;
+import javax.xml.stream.XMLStreamConstants;
+import javax.xml.stream.XMLStreamException;
+import javax.xml.stream.XMLStreamReader;
+import javax.xml.stream.XMLStreamWriter;
+
+/** The few XML documents of S3 that the gateway writes or has to understand. */
+final class S3Xml {
+    /** A part as ListParts names it. */
+    record Part(String etag, long size) { }
+
+    private static final XMLInputFactory INPUT = XMLInputFactory.newInstance();
+    private static final XMLOutputFactory OUTPUT = XMLOutputFactory.newInstance();
+
+    static {
+        // A node's answer must not make the gateway read files or call others.
+        INPUT.setProperty(XMLInputFactory.SUPPORT_DTD, false);
+        INPUT.setProperty(XMLInputFactory.IS_SUPPORTING_EXTERNAL_ENTITIES, false);
+    }
+
+    private S3Xml() { }
+
+    static byte[] error(S3Error error, String resource, String requestId) {
+        StringWriter text = new StringWriter();
+        try {
+            XMLStreamWriter xml = OUTPUT.createXMLStreamWriter(text);
+            xml.writeStartDocument("UTF-8", "1.0");
+            xml.writeStartElement("Error");
+            String[] fields = {"Code", error.code, "Message", error.getMessage(), "Resource", resource, "RequestId", requestId};
+            for (int i = 0; i < fields.length; i += 2) {
+                xml.writeStartElement(fields[i]);
+                xml.writeCharacters(fields[i + 1].replaceAll("[^\\x20-\\uD7FF]", "?"));
+                xml.writeEndElement();
+            }
+            xml.writeEndElement();
+            xml.writeEndDocument();
+        } catch (XMLStreamException e) {
+            throw new IllegalStateException(e);   // a StringWriter does not fail
+        }
+        return text.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The text of the first element of this name, or null. */
+    static String first(byte[] document, String element) throws XMLStreamException {
+        XMLStreamReader xml = INPUT.createXMLStreamReader(new ByteArrayInputStream(document));
+        while (xml.hasNext()) {
+            if (xml.next() == XMLStreamConstants.START_ELEMENT && xml.getLocalName().equals(element)) {
+                return xml.getElementText();
+            }
+        }
+        return null;
+    }
+
+    /** The parts of a ListPartsResult by number. */
+    static Map<Integer, Part> parts(byte[] document) throws XMLStreamException {
+        XMLStreamReader xml = INPUT.createXMLStreamReader(new ByteArrayInputStream(document));
+        Map<Integer, Part> parts = new HashMap<>();
+        boolean result = false;
+        Map<String, String> part = null;
+        while (xml.hasNext()) {
+            int event = xml.next();
+            if (event == XMLStreamConstants.START_ELEMENT) {
+                String name = xml.getLocalName();
+                result |= name.equals("ListPartsResult");
+                if (name.equals("Part")) {
+                    part = new HashMap<>();
+                } else if (part != null) {
+                    part.put(name, xml.getElementText().strip());
+                }
+            } else if (event == XMLStreamConstants.END_ELEMENT && xml.getLocalName().equals("Part")) {
+                try {
+                    parts.put(Integer.parseInt(part.get("PartNumber")),
+                        new Part(part.getOrDefault("ETag", ""), Long.parseLong(part.get("Size"))));
+                } catch (NumberFormatException e) {
+                    throw new XMLStreamException("a part without its number or size");
+                }
+                part = null;
+            }
+        }
+        if (!result) {
+            throw new XMLStreamException("no ListPartsResult");
+        }
+        return parts;
+    }
+}
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -14,16 +14,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import kelphollow.routing.Caller;
 import kelphollow.routing.Core;
 import kelphollow.routing.Request;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.Front;
 
 /** The front for the platform's clients. */
-public final class RespFront implements Consumer<Channel> {
+public final class RespFront implements Front {
     private static final Logger LOG = Logger.getLogger(RespFront.class.getName());
     // Requests of one connection that may be open at once; further ones stay in the socket until some are answered.
     private static final int MOST_OPEN = 256;
@@ -43,8 +43,7 @@
         channel.pipeline().addLast(new Client(channel));
     }
 
-    /** Closes each connection as soon as it is owed nothing; runs the task when the last is closed. */
-    public void leave(Runnable whenLeft) {
+    @Override public void leave(Runnable whenLeft) {
         leaving = whenLeft;
         List.copyOf(clients).forEach(Client::flushAnswers);
         checkLeft();
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/xds/XdsPoll.java
@@ -0,0 +1,158 @@
+package kelphollow.protocol.xds;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+import kelphollow.protocol.json.Json;
+import kelphollow.routing.Core;
+import kelphollow.routing.Directory;
+import kelphollow.routing.Member;
+import kelphollow.routing.Ticker;
+import kelphollow.transport.HttpCall;
+
+/**
+ * xDS by REST: asks for the cluster, then for its endpoints, again and again while both go well. A faulty answer is
+ * rejected whole and the last good list stands; the module then says when to ask again.
+ */
+public final class XdsPoll implements Directory {
+    /** What to ask for, and how often; times in milliseconds. */
+    public record Query(String host, String cluster, int shards, String nodeId, String nodeCluster, double refresh) { }
+
+    private static final Logger LOG = Logger.getLogger(XdsPoll.class.getName());
+    private static final double PATIENCE = 2_000;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final HttpCall calls;
+    private final Ticker ticker;
+    private final Core core;
+    private final Query query;
+    private boolean watching;
+    private String clusterVersion = "", endpointVersion = "";
+    private XdsClusters.Cluster cluster;
+
+    public XdsPoll(HttpCall calls, Ticker ticker, Core core, Query query) {
+        this.calls = calls;
+        this.ticker = ticker;
+        this.core = core;
+        this.query = query;
+    }
+
+    @Override public void watch() {
+        if (!watching) {
+            watching = true;
+            askClusters();
+        }
+    }
+
+    private void askClusters() {
+        ask("clusters", XdsClusters.CLUSTER, query.cluster(), clusterVersion, (version, resources) -> {
+            if (resources != null) {
+                XdsClusters.Cluster news = XdsClusters.cluster(resources, query.cluster(), query.shards());
+                // A cluster that names other endpoints makes what is known of the old ones' version worthless.
+                if (cluster == null || !cluster.serviceName().equals(news.serviceName())) {
+                    endpointVersion = "";
+                }
+                cluster = news;
+                clusterVersion = version;
+                if (news.inline() != null) {
+                    core.learn(news.inline(), true, false);
+                }
+            }
+            if (cluster.inline() == null) {
+                askEndpoints();
+            } else {
+                later();
+            }
+        });
+    }
+
+    private void askEndpoints() {
+        ask("endpoints", XdsClusters.ASSIGNMENT, cluster.serviceName(), endpointVersion, (version, resources) -> {
+            if (resources != null) {
+                List<Member> members = XdsClusters.endpoints(resources, cluster.serviceName(), query.shards());
+                endpointVersion = version;
+                core.learn(members, true, false);
+            }
+            later();
+        });
+    }
+
+    private void later() {
+        ticker.after(query.refresh(), this::askClusters);
+    }
+
+    /** Takes the resources of a new version, or null when there is none. */
+    private interface News {
+        void take(String version, List<?> resources);
+    }
+
+    private void ask(String what, String type, String resource, String version, News news) {
+        calls.send(request(what, type, resource, version), PATIENCE, new HttpCall.Reply() {
+            @Override public void answered(int status, String body) {
+                try {
+                    if (status == 304) {
+                        news.take(version, null);
+                        return;
+                    }
+                    if (status != 200) {
+                        throw new IllegalArgumentException("status " + status);
+                    }
+                    if (!(Json.parse(body) instanceof Map<?, ?> map)) {
+                        throw new IllegalArgumentException("the answer is not an object");
+                    }
+                    Object told = map.containsKey("version_info") ? map.get("version_info") : map.get("versionInfo");
+                    String next = told instanceof String s ? s : "";
+                    boolean same = !next.isEmpty() && next.equals(version);
+                    if (!same && !(map.get("resources") instanceof List<?>)) {
+                        throw new IllegalArgumentException("'resources' is missing");
+                    }
+                    news.take(next, same ? null : (List<?>) map.get("resources"));
+                } catch (IOException | IllegalArgumentException e) {
+                    failed(what + ": " + e.getMessage());
+                }
+            }
+
+            @Override public void failed(String why) {
+                LOG.warning(() -> "xDS, last good list stands: " + why);
+                watching = false;
+                core.listFailed();
+            }
+        });
+    }
+
+    private FullHttpRequest request(String what, String type, String resource, String version) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("version_info", version);
+            json.writeObjectFieldStart("node");
+            json.writeStringField("id", query.nodeId());
+            json.writeStringField("cluster", query.nodeCluster());
+            json.writeEndObject();
+            json.writeArrayFieldStart("resource_names");
+            json.writeString(resource);
+            json.writeEndArray();
+            json.writeStringField("type_url", type);
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);   // a StringWriter does not fail
+        }
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
+            "/v3/discovery:" + what, Unpooled.copiedBuffer(text.toString(), StandardCharsets.UTF_8));
+        request.headers().set(HttpHeaderNames.HOST, query.host())
+            .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            .setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        return request;
+    }
+}
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -2,10 +2,12 @@
 
 /** One sending of a request to one node. Backends hold it; only {@link Core} changes it. */
 public final class Attempt {
+    // How often the module hears that a body moves on, in milliseconds.
+    private static final double HEARD_EVERY = 50;
+
     /** Free for the backend that carries it. */
     public Object carrier;
     final int number;
-    final double sentAt;
     Ticker.Timeout timeout;
     private final Core core;
     private final Request request;
@@ -13,13 +15,15 @@
     private final double giveUpAt;
     private boolean out = true;
     private double beganAt = -1;
+    private double heardAt;
+    private double owedSince;
 
     Attempt(Core core, Request request, int number, Member member, double sentAt, double giveUpAt) {
         this.core = core;
         this.request = request;
         this.number = number;
         this.member = member;
-        this.sentAt = sentAt;
+        this.owedSince = sentAt;
         this.giveUpAt = giveUpAt;
     }
 
@@ -56,6 +60,20 @@
         }
     }
 
+    /** The node has taken or given part of a body; the module hears of it now and then. */
+    public void progressed() {
+        double now = core.now();
+        if (out && now - heardAt > HEARD_EVERY) {
+            heardAt = now;
+            core.progressed(this);
+        }
+    }
+
+    /** The last byte of the request's body has been written: only from here on does the node owe an answer. */
+    public void sentWhole() {
+        owedSince = core.now();
+    }
+
     /** Ends the attempt; later calls are ignored, since an abandoned connection may still report its end. */
     public void ended(Result result) {
         if (out) {
@@ -73,8 +91,11 @@
         return first;
     }
 
-    /** Time to the answer, or to its beginning where it was streamed: a slow client is no slow node. */
+    /**
+     * Time to the answer, or to its beginning where it was streamed, from when all had been sent. Guards against
+     * taking a client that sends or reads slowly for a slow node.
+     */
     double took() {
-        return (beganAt < 0 ? core.now() : beganAt) - sentAt;
+        return (beganAt < 0 ? core.now() : beganAt) - owedSince;
     }
 }
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -117,6 +117,10 @@
         tell(new AnswerStarted(attempt.request().facts().id(), attempt.number));
     }
 
+    void progressed(Attempt attempt) {
+        tell(new Progress(attempt.request().facts().id(), attempt.number));
+    }
+
     void ended(Attempt attempt, Result result) {
         if (!attempt.finish()) {
             return;
@@ -129,7 +133,7 @@
             request.caller.served(result.answer());
         }
         tell(new AttemptDone(request.facts().id(), attempt.number, attempt.member().entry().node(), result.outcome(),
-            attempt.took(), request.over, result.elsewhere(), result.usePercent(), result.report()));
+            attempt.took(), request.over, result.spent(), result.elsewhere(), result.usePercent(), result.report()));
     }
 
     private void giveUp(Attempt attempt, Outcome outcome) {
--- /dev/null
+++ b/src/main/java/kelphollow/transport/Front.java
@@ -0,0 +1,12 @@
+package kelphollow.transport;
+
+import io.netty.channel.Channel;
+
+/** What a listening socket hands its connections to. */
+public interface Front {
+    /** Gives a new connection its handlers. */
+    void accept(Channel channel);
+
+    /** Closes each connection as soon as it is owed nothing; runs the task once the last is closed. */
+    void leave(Runnable whenLeft);
+}
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
-import java.util.function.Consumer;
 
 /** A listening socket; each connection that comes gets its handlers from a front. */
 public final class Server {
@@ -25,7 +24,7 @@
     }
 
     /** Opens the socket; blocks until it listens. Called from outside the event loop. */
-    public InetSocketAddress listen(EventLoop loop, InetSocketAddress address, Consumer<Channel> front) {
+    public InetSocketAddress listen(EventLoop loop, InetSocketAddress address, Front front) {
         listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
--- a/src/test/java/kelphollow/decision/Rig.java
+++ b/src/test/java/kelphollow/decision/Rig.java
@@ -76,7 +76,7 @@
 
     List<Action> end(String id, Outcome outcome, double took) {
         String at = nodeOf(id);
-        return tell(new AttemptDone(id, tries.get(id) - 1, at, outcome, took, outcome == Outcome.SERVED, 0, -1, Map.of()));
+        return tell(new AttemptDone(id, tries.get(id) - 1, at, outcome, took, outcome == Outcome.SERVED, false, 0, -1, Map.of()));
     }
 
     String nodeOf(String id) {
