--- /dev/null
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -0,0 +1,95 @@
+package kelphollow.program;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import kelphollow.decision.ControlApi.NodeEntry;
+import kelphollow.decision.ControlApi.Phase;
+import kelphollow.protocol.discovery.Members;
+import kelphollow.protocol.json.Json;
+import kelphollow.routing.Member;
+
+/** A scheduler under test on the loopback, with the example's settings and a clock that the test moves. */
+final class Bench implements AutoCloseable {
+    final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = group.next();
+    final ManualTicker ticker = new ManualTicker(loop);
+    private Scheduler scheduler;
+    InetSocketAddress address;
+
+    static Map<String, Object> example() throws IOException {
+        return copy((Map<?, ?>) Json.parse(Files.readString(Path.of("deploy/objects.json"))));
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> part(Map<String, Object> map, String key) {
+        return (Map<String, Object>) map.get(key);
+    }
+
+    private static Map<String, Object> copy(Map<?, ?> map) {
+        Map<String, Object> copy = new HashMap<>();
+        map.forEach((k, v) -> copy.put((String) k, v instanceof Map<?, ?> m ? copy(m) : v));
+        return copy;
+    }
+
+    /** The platform's scheduler, which knows these nodes: shard i is held by the i-th. */
+    static Bench resp(InetSocketAddress discovery, InetSocketAddress... nodes) throws Exception {
+        Bench bench = new Bench();
+        Map<String, Object> settings = part(example(), "settings");
+        List<Member> members = new ArrayList<>();
+        for (InetSocketAddress node : nodes) {
+            members.add(new Member(new NodeEntry("n" + members.size(), "a", members.size(), Phase.HEALTHY, 0), node));
+        }
+        settings.put("discovery", discovery == null ? "automatic" : "subscribe");
+        bench.start(Scheduler.of(new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1, 1024, 250, 12_000,
+            new Members(1, true, members), Config.settings(settings)), bench.loop, bench.ticker));
+        return bench;
+    }
+
+    /** The gateway of the object API over these object servers. */
+    static Bench objects(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
+        Bench bench = new Bench();
+        Map<String, Object> config = example();
+        Map<String, Object> xds = new HashMap<>(part(config, "xds"));
+        xds.put("endpoints", List.of(Json.parse(assignment("HEALTHY", servers))));
+        config.put("xds", xds);
+        config.putAll(changes);
+        bench.start(Scheduler.of(ObjectConfig.read(config), bench.loop, bench.ticker));
+        return bench;
+    }
+
+    /** A ClusterLoadAssignment in which each server holds the shard of its place. */
+    static String assignment(String health, InetSocketAddress... servers) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < servers.length; i++) {
+            text.append(i > 0 ? "," : "").append("{\"health_status\":\"").append(health)
+                .append("\",\"endpoint\":{\"address\":{\"socket_address\":{\"address\":\"127.0.0.1\",\"port_value\":")
+                .append(servers[i].getPort()).append("}}},\"metadata\":{\"filter_metadata\":{\"kelphollow\":{\"shard\":")
+                .append(i).append("}}}}");
+        }
+        return "{\"cluster_name\":\"dump-store-endpoints\",\"endpoints\":[{\"lb_endpoints\":[" + text + "]}]}";
+    }
+
+    private void start(Scheduler of) {
+        scheduler = of;
+        address = of.listen(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    void leave(Runnable whenLeft) {
+        scheduler.leave(whenLeft);
+        ticker.advance((int) Scheduler.LISTEN_ON + 1);
+    }
+
+    @Override public void close() {
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/test/java/kelphollow/program/ExchangeTest.java
@@ -0,0 +1,138 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Plays recorded exchanges against the program and compares byte for byte. A line is a step:
+ * <pre>
+ * C&gt; bytes   the client sends           C&lt; bytes   the client gets just these
+ * N&gt; bytes   the node sends             N&lt; bytes   the node gets just these
+ * C close    the client closes          C end      the client's connection has been closed; so for N
+ * T 250      the clock moves on by so many milliseconds
+ * </pre>
+ * {@code \r}, {@code \n} and {@code \\} are escapes, {@code \*N} repeats the byte before it N times in all. A line that
+ * begins with blanks goes on with the one before. C2 is a second client's connection, N2 a node's second one.
+ */
+class ExchangeTest {
+    private static final int GUARD_MILLIS = 10_000;   // only so that a failure ends; nothing is proved by waiting
+
+    @TestFactory Stream<DynamicTest> platform() throws IOException {
+        return files("resp").map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> play(f, true)));
+    }
+
+    @TestFactory Stream<DynamicTest> objects() throws IOException {
+        return files("object").map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> play(f, false)));
+    }
+
+    private static Stream<Path> files(String kind) throws IOException {
+        try (Stream<Path> all = Files.list(Path.of("src/test/resources/exchanges/" + kind))) {
+            List<Path> files = all.sorted().toList();
+            assertFalse(files.isEmpty());
+            return files.stream();
+        }
+    }
+
+    private static void play(Path file, boolean platform) throws Exception {
+        try (ServerSocket node = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            node.setSoTimeout(GUARD_MILLIS);
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", node.getLocalPort());
+            Map<String, Socket> sockets = new HashMap<>();
+            try (Bench bench = platform ? Bench.resp(null, at) : Bench.objects(oneShard(), at)) {
+                int number = 0;
+                for (String step : steps(file)) {
+                    number++;
+                    String where = file.getFileName() + " step " + number + ": " + step;
+                    String[] words = step.split(" ", 2);
+                    if (words[0].equals("T")) {
+                        bench.ticker.advance(Integer.parseInt(words[1].strip()));
+                        continue;
+                    }
+                    String who = words[0].replaceAll("[<>]", "");
+                    if (!sockets.containsKey(who)) {
+                        Socket socket = who.startsWith("N") ? node.accept()
+                            : new Socket(bench.address.getAddress(), bench.address.getPort());
+                        socket.setSoTimeout(GUARD_MILLIS);
+                        socket.setTcpNoDelay(true);
+                        sockets.put(who, socket);
+                    }
+                    step(sockets.get(who), words[0], words[1], where);
+                }
+            } finally {
+                for (Socket socket : sockets.values()) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private static void step(Socket socket, String what, String rest, String where) throws IOException {
+        if (rest.equals("close")) {
+            socket.close();
+        } else if (rest.equals("end")) {
+            int next;
+            try {
+                next = socket.getInputStream().read();
+            } catch (java.net.SocketException reset) {
+                next = -1;
+            }
+            assertEquals(-1, next, where);
+        } else if (what.endsWith(">")) {
+            socket.getOutputStream().write(bytes(rest));
+        } else {
+            byte[] expected = bytes(rest);
+            byte[] got = socket.getInputStream().readNBytes(expected.length);
+            assertEquals(new String(expected, StandardCharsets.ISO_8859_1), new String(got, StandardCharsets.ISO_8859_1),
+                where);
+        }
+    }
+
+    private static Map<String, Object> oneShard() throws IOException {
+        Map<String, Object> objects = Bench.part(Bench.example(), "objects");
+        objects.put("shards", 1.0);
+        return Map.of("objects", objects);
+    }
+
+    private static List<String> steps(Path file) throws IOException {
+        String text = Files.readString(file).replaceAll("(?m)^#.*\\R", "").replaceAll("\\R[ ]+", "");
+        return text.lines().filter(l -> !l.isBlank()).toList();
+    }
+
+    private static byte[] bytes(String text) {
+        StringBuilder out = new StringBuilder();
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c != '\\') {
+                out.append(c);
+                continue;
+            }
+            c = text.charAt(++i);
+            if (c == '*') {
+                int end = i + 1;
+                while (end < text.length() && Character.isDigit(text.charAt(end))) {
+                    end++;
+                }
+                char last = out.charAt(out.length() - 1);
+                out.append(String.valueOf(last).repeat(Integer.parseInt(text.substring(i + 1, end)) - 1));
+                i = end - 1;
+            } else {
+                out.append(c == 'r' ? '\r' : c == 'n' ? '\n' : c);
+            }
+        }
+        return out.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
