--- a/src/main/java/kelphollow/protocol/object/ObjectBackend.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectBackend.java
@@ -300,6 +300,10 @@
             if (status == 503 || status == 429) {
                 // Turned away. Once all of a write has come, only the server knows whether that was before it ran.
                 finish(Result.of(never ? Outcome.FULL : Outcome.ERROR, null, transfer.isSpent()));
+            } else if (transfer.isHeadPassed()) {
+                // The rest of a cut answer is not to be had, say since the object has changed (412): another answer
+                // must not be written into the middle of the first.
+                finish(Result.of(Outcome.ERROR, null, true));
             } else if (status >= 500) {
                 finish(Result.of(Outcome.ERROR, null, transfer.isSpent()));
             } else {
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -136,10 +136,18 @@
                 current.piece(content);
             } else {
                 ReferenceCountUtil.release(message);
-                channel.read();
+                readLater();
             }
         }
 
+        /**
+         * Asks for one more message, after the one at hand. Guards against a read that is asked for while a message
+         * is being handed over: the flow control then loses it, and a part sent again stood still for good.
+         */
+        void readLater() {
+            channel.eventLoop().execute(channel::read);
+        }
+
         private void begin(HttpRequest request) {
             current = new Exchange(this, request);
             if (request.decoderResult().isFailure()) {
@@ -162,7 +170,7 @@
                 } else {
                     // Closing with input unread resets the connection, and the answer may be lost with it: the
                     // client gets some time to see it and to close by itself.
-                    channel.read();
+                    readLater();
                     ticker.after(options.stall() / 4, channel::close);
                 }
                 return;
@@ -172,7 +180,7 @@
             if (following != null) {
                 begin(following);
             } else {
-                channel.read();
+                readLater();
             }
         }
 
@@ -243,7 +251,7 @@
                 part.begin();
             } else {
                 if (!call.op().hasBody()) {
-                    client.channel.read();       // the empty end of the request, and later the client's going away
+                    client.readLater();       // the empty end of the request, and later the client's going away
                 }
                 send(null);
             }
@@ -274,7 +282,7 @@
                     answer(new S3Error(400, "RequestTimeout", "Your body stood still for too long."));
                 }
             });
-            client.channel.read();
+            client.readLater();
         }
 
         void piece(HttpContent content) {
@@ -309,7 +317,7 @@
                 content.release();
             }
             if (last && !over) {
-                client.channel.read();           // so that the client's going away is seen
+                client.readLater();           // so that the client's going away is seen
             }
         }
 
--- /dev/null
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -0,0 +1,304 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import kelphollow.program.StandInServer.Fault;
+import kelphollow.program.StandInServer.Fault.Kind;
+import kelphollow.program.StandInServer.Stored;
+import kelphollow.routing.Invariant;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The object API from request to answer, between a stand-in client and a stand-in object server. */
+@org.junit.jupiter.api.Timeout(15)
+class ObjectFrontTest {
+    private static final byte[] CONTENT = "0123456789abcdefghijklmnopqrstuvwxyz".getBytes();
+    private static final int SETTLED = 3_100;   // the write class's deadline, after which no attempt is out
+    private StandInServer server;
+    private Bench bench;
+    private StandInClient client;
+
+    @BeforeEach void start() throws Exception {
+        server = new StandInServer();
+        bench = gateway();
+        client = new StandInClient(bench.address);
+        server.objects.put("/symbols/a", new Stored(CONTENT, "\"e1\""));
+    }
+
+    private Bench gateway(InetSocketAddress... others) throws Exception {
+        Map<String, Object> objects = new HashMap<>(Bench.part(Bench.example(), "objects"));
+        objects.put("shards", 1.0);
+        return Bench.objects(Map.of("objects", objects), server.address());
+    }
+
+    @AfterEach void stop() throws Exception {
+        client.close();
+        bench.close();
+        server.close();
+        assertEquals(0, Invariant.broken());
+    }
+
+    /** Moves the clock until the server gets the next request: a pause ends only after its cause was seen. */
+    private String nextSeen() throws Exception {
+        for (int i = 0; i < 2_000; i++) {
+            String line = server.seen.poll(5, TimeUnit.MILLISECONDS);
+            if (line != null) {
+                return line;
+            }
+            bench.ticker.advance(1);
+        }
+        return fail("no request came");
+    }
+
+    /** Makes a call that needs pauses to pass: moves the clock until it is answered. */
+    private StandInClient.Answer callInTime(String line, byte[] body) throws Exception {
+        try (StandInClient other = new StandInClient(bench.address)) {
+            var answer = java.util.concurrent.CompletableFuture.supplyAsync(() -> {
+                try {
+                    return other.call(line, "", body);
+                } catch (java.io.IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+            for (int i = 0; i < 1_500 && !answer.isDone(); i++) {
+                bench.ticker.advance(1);
+                try {
+                    answer.get(2, TimeUnit.MILLISECONDS);   // the clock must not outrun the sockets
+                } catch (java.util.concurrent.TimeoutException e) {
+                    // on with the clock
+                }
+            }
+            return answer.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private String begin(String path) throws Exception {
+        String answer = client.call("POST " + path + "?uploads", "", null).text();
+        server.seen.take();
+        return answer.replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
+    }
+
+    // ---------------------------------------------------------------- plain objects
+
+    @Test void anObjectIsWrittenReadAndDeleted() throws Exception {
+        assertEquals(200, client.call("PUT /symbols/b", "Content-Type: text/plain\r\n", CONTENT).status());
+        assertArrayEquals(CONTENT, client.call("GET /symbols/b", "", null).body());
+        assertEquals("36", client.call("HEAD /symbols/b", "", null).headers().get("Content-Length"));
+        assertEquals(204, client.call("DELETE /symbols/b", "", null).status());
+        assertEquals(404, client.call("GET /symbols/b", "", null).status());
+        assertEquals(1, server.objectWrites.get("/symbols/b"));
+    }
+
+    @Test void largeBodiesStreamInBoundedMemory() throws Exception {
+        byte[] large = new byte[48 << 20];
+        new java.util.Random(1).nextBytes(large);
+        assertEquals(200, client.call("PUT /symbols/large", "Expect: 100-continue\r\n", large).status());
+        client.send("GET /symbols/large", "", null);
+        bench.loop.submit(() -> { }).sync();
+        assertArrayEquals(large, client.answer().body());
+        long held = io.netty.buffer.PooledByteBufAllocator.class.cast(allocator()).metric().usedDirectMemory();
+        assertTrue(held < 4 << 20, held + " bytes of buffers for a body of " + large.length);
+    }
+
+    private static io.netty.buffer.ByteBufAllocator allocator() throws Exception {
+        var field = kelphollow.transport.Server.class.getDeclaredField("ALLOCATOR");
+        field.setAccessible(true);
+        return (io.netty.buffer.ByteBufAllocator) field.get(null);
+    }
+
+    @Test void badInputGetsAnErrorOnItsConnectionOnly() throws Exception {
+        for (String[] bad : new String[][] {{"GET /nowhere/a", "", "404"}, {"PATCH /symbols/a", "", "405"},
+            {"GET /symbols", "", "501"}, {"GET /symbols/a?acl", "", "501"},
+            {"PUT /symbols/a", "Transfer-Encoding: chunked\r\n", "411"}, {"PUT /symbols/a", "", "411"},
+            {"PUT /symbols/a?uploadId=u&partNumber=0", "Content-Length: 1\r\n", "400"},
+            {"PUT /symbols/a", "Content-Length: 9000000000\r\n", "400"}}) {
+            try (StandInClient other = new StandInClient(bench.address)) {
+                StandInClient.Answer answer = assertDoesNotThrow(() -> other.call(bad[0], bad[1], null), bad[0] + bad[1]);
+                assertEquals(Integer.parseInt(bad[2]), answer.status(), bad[0]);
+                assertTrue(answer.text().startsWith("<?xml") && answer.text().contains("<Code>"), answer.text());
+            }
+        }
+        assertEquals(200, client.call("GET /symbols/a", "", null).status());
+        assertEquals(1, server.seen.size(), "none of them reached a server");
+    }
+
+    // ---------------------------------------------------------------- a range that is cut mid-body
+
+    @Test void aCutRangeGoesOnAtItsOffsetAndTheClientSeesNothing() throws Exception {
+        server.faults.add(new Fault("GET", Kind.CUT, 4, null));
+        client.send("GET /symbols/a", "Range: bytes=10-19\r\n", null);
+        assertEquals("GET /symbols/a HTTP/1.1 bytes=10-19", server.seen.take());
+        assertEquals("GET /symbols/a HTTP/1.1 bytes=14-19 \"e1\"", nextSeen());
+        StandInClient.Answer answer = client.answer();
+        assertEquals(206, answer.status());
+        assertEquals("abcdefghij", answer.text());
+    }
+
+    @Test void aWholeObjectThatIsCutTwiceGoesOnBothTimes() throws Exception {
+        server.faults.add(new Fault("GET", Kind.CUT, 5, null));
+        server.faults.add(new Fault("GET", Kind.CUT, 6, null));
+        client.send("GET /symbols/a", "", null);
+        assertEquals("GET /symbols/a HTTP/1.1", server.seen.take());
+        assertEquals("GET /symbols/a HTTP/1.1 bytes=5-35 \"e1\"", nextSeen());
+        assertEquals("GET /symbols/a HTTP/1.1 bytes=11-35 \"e1\"", nextSeen());
+        assertArrayEquals(CONTENT, client.answer().body());
+    }
+
+    /** Guards against gluing two versions of an object together. */
+    @Test void aCutRangeOfAnObjectThatHasChangedEndsShort() throws Exception {
+        server.afterCut = () -> server.objects.put("/symbols/a", new Stored("other".repeat(10).getBytes(), "\"e2\""));
+        server.faults.add(new Fault("GET", Kind.CUT, 4, null));
+        client.send("GET /symbols/a", "Range: bytes=10-19\r\n", null);
+        server.seen.take();
+        assertEquals("GET /symbols/a HTTP/1.1 bytes=14-19 \"e1\"", nextSeen());
+        StandInClient.Answer answer = client.answer();
+        assertEquals(206, answer.status());
+        assertFalse(answer.whole());
+        assertEquals("abcd", answer.text());
+    }
+
+    @Test void aCutRangeEndsShortOnceTheModuleGrantsNoMore() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            server.faults.add(new Fault("GET", Kind.CUT, 1, null));
+        }
+        client.send("GET /symbols/a", "", null);
+        for (int i = 0; i < 3; i++) {
+            nextSeen();
+        }
+        StandInClient.Answer answer = client.answer();
+        assertFalse(answer.whole());
+        assertEquals("012", answer.text());
+        assertTrue(server.seen.isEmpty());
+    }
+
+    // ---------------------------------------------------------------- a part that is sent twice
+
+    @Test void anUploadIsPutTogetherAndEachPartStoredOnce() throws Exception {
+        String id = begin("/symbols/m");
+        for (int n = 1; n <= 3; n++) {
+            assertEquals(200, client.call("PUT /symbols/m?partNumber=" + n + "&uploadId=" + id, "", CONTENT).status());
+        }
+        assertTrue(client.call("GET /symbols/m?uploadId=" + id, "", null).text().contains("<PartNumber>3</PartNumber>"));
+        assertEquals(200, client.call("POST /symbols/m?uploadId=" + id, "", "<CompleteMultipartUpload/>".getBytes()).status());
+        assertEquals(3 * CONTENT.length, server.objects.get("/symbols/m").bytes().length);
+        assertEquals(Map.of(id + "#1", 1, id + "#2", 1, id + "#3", 1), server.partWrites);
+    }
+
+    @Test void thePartSentTwiceAtOnceIsStoredOnceAndBothGetTheAnswer() throws Exception {
+        String id = begin("/symbols/m");
+        Fault hold = Fault.of("PUT", Kind.HOLD);
+        server.faults.add(hold);
+        client.send("PUT /symbols/m?partNumber=1&uploadId=" + id, "", CONTENT);
+        server.seen.take();
+        try (StandInClient second = new StandInClient(bench.address)) {
+            second.send("PUT /symbols/m?partNumber=1&uploadId=" + id, "", CONTENT);
+            hold.gate().countDown();
+            StandInClient.Answer first = client.answer(), again = second.answer();
+            assertEquals(200, first.status());
+            assertEquals(200, again.status());
+            assertEquals(first.headers().get("ETag"), again.headers().get("ETag"));
+        }
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    @Test void thePartSentAgainLaterGetsTheRecordedAnswerOrAConflict() throws Exception {
+        String id = begin("/symbols/m"), line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        String etag = client.call(line, "", CONTENT).headers().get("ETag");
+        StandInClient.Answer again = client.call(line, "", CONTENT);
+        assertEquals(200, again.status());
+        assertEquals(etag, again.headers().get("ETag"));
+        assertEquals(409, client.call(line, "", "other".getBytes()).status());
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+        assertEquals(1, server.seen.size(), "the server was asked once");
+    }
+
+    @Test void aPartOfUnknownOutcomeIsAskedForBeforeItIsSentAgain() throws Exception {
+        String id = begin("/symbols/m"), line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        server.faults.add(Fault.of("PUT", Kind.CRASH_AFTER));
+        assertEquals(502, client.call(line, "", CONTENT).status());
+        assertEquals(409, callInTime(line, "other".getBytes()).status());
+        StandInClient.Answer again = client.call(line, "", CONTENT);
+        assertEquals(200, again.status());
+        assertEquals(server.uploads.get(id).get(1).etag(), again.headers().get("ETag"));
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    /** Guards against an attempt that is still at work when its absence is seen. */
+    @Test void aPartThatMayStillBeAtWorkIsRefusedUntilItCannotBe() throws Exception {
+        String id = begin("/symbols/m"), line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        server.faults.add(Fault.of("PUT", Kind.CRASH_BEFORE));
+        assertEquals(502, callInTime(line, CONTENT).status());
+        StandInClient.Answer early = callInTime(line, CONTENT);
+        assertEquals(503, early.status());
+        assertTrue(Integer.parseInt(early.headers().get("Retry-After")) >= 1);
+        assertEquals(Map.of(), server.partWrites);
+        bench.ticker.advance(SETTLED);
+        assertEquals(200, callInTime(line, CONTENT).status());
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    @Test void afterARestartPartsAreAskedForBeforeTheyAreSent() throws Exception {
+        String id = begin("/symbols/m"), line = "PUT /symbols/m?partNumber=";
+        assertEquals(200, client.call(line + "1&uploadId=" + id, "", CONTENT).status());
+        client.close();
+        bench.close();
+        bench = gateway();
+        client = new StandInClient(bench.address);
+        bench.ticker.advance(SETTLED);
+        assertEquals(200, client.call(line + "1&uploadId=" + id, "", CONTENT).status());
+        assertEquals(200, client.call(line + "2&uploadId=" + id, "", CONTENT).status());
+        assertEquals(404, client.call(line + "1&uploadId=none", "", CONTENT).status());
+        assertEquals(Map.of(id + "#1", 1, id + "#2", 1), server.partWrites);
+    }
+
+    // ---------------------------------------------------------------- deadlines, crashes, drains
+
+    @Test void aReadThatIsNotAnsweredEndsAtItsDeadline() throws Exception {
+        Fault hold = Fault.of("GET", Kind.HOLD);
+        server.faults.add(hold);
+        client.send("GET /symbols/a", "", null);
+        server.seen.take();
+        bench.ticker.advance(1_200);
+        assertEquals(504, client.answer().status());
+        hold.gate().countDown();
+    }
+
+    @Test void aServerThatCrashesFailsAWriteAndAReadIsRefusedWithAdvice() throws Exception {
+        server.faults.add(Fault.of("PUT", Kind.CRASH_BEFORE));
+        assertEquals(502, client.call("PUT /symbols/b", "", CONTENT).status());
+        assertEquals(1, server.seen.size(), "a write that may have run is not sent again");
+        server.close();
+        StandInClient.Answer answer = callInTime("GET /symbols/a", null);
+        assertEquals(503, answer.status());
+        assertTrue(Integer.parseInt(answer.headers().get("Retry-After")) >= 1);
+    }
+
+    /** Guards against sending a body again of which a part is gone. */
+    @Test void aWriteThatIsTurnedAwayBeforeItsBodyIsTriedAgain() throws Exception {
+        server.faults.add(Fault.of("PUT", Kind.REFUSE));
+        client.send("PUT /symbols/b", "", CONTENT);
+        nextSeen();
+        nextSeen();
+        assertEquals(200, client.answer().status());
+        assertEquals(1, server.objectWrites.get("/symbols/b"));
+    }
+
+    @Test void whatWasTakenIsAnsweredBeforeTheGatewayLeaves() throws Exception {
+        Fault hold = Fault.of("GET", Kind.HOLD);
+        server.faults.add(hold);
+        client.send("GET /symbols/a", "", null);
+        server.seen.take();
+        CountDownLatch left = new CountDownLatch(1);
+        bench.leave(left::countDown);
+        assertEquals(1, left.getCount(), "it waits for what it has taken");
+        hold.gate().countDown();
+        assertArrayEquals(CONTENT, client.answer().body());
+        assertTrue(left.await(20, TimeUnit.SECONDS));
+    }
+}
--- /dev/null
+++ b/src/test/java/kelphollow/program/StandInClient.java
@@ -0,0 +1,92 @@
+package kelphollow.program;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A client of the object API on one connection, plain enough to see an answer that is cut short. */
+final class StandInClient implements AutoCloseable {
+    record Answer(int status, Map<String, String> headers, byte[] body, boolean whole) {
+        String text() {
+            return new String(body, StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    final Socket socket;
+
+    StandInClient(InetSocketAddress gateway) throws IOException {
+        socket = new Socket(gateway.getAddress(), gateway.getPort());
+        socket.setSoTimeout(3_000);   // only so that a failure ends
+    }
+
+    StandInClient send(String line, String headers, byte[] body) throws IOException {
+        head(line, headers, body == null ? -1 : body.length);
+        if (body != null) {
+            socket.getOutputStream().write(body);
+        }
+        return this;
+    }
+
+    void head(String line, String headers, long length) throws IOException {
+        socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: h\r\n" + headers
+            + (length < 0 ? "" : "Content-Length: " + length + "\r\n") + "\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    Answer call(String line, String headers, byte[] body) throws IOException {
+        return send(line, headers, body).answer(line.startsWith("HEAD"));
+    }
+
+    Answer answer() throws IOException {
+        return answer(false);
+    }
+
+    private Answer answer(boolean bare) throws IOException {
+        InputStream in = socket.getInputStream();
+        String status = line(in);
+        if (status == null) {
+            return new Answer(0, Map.of(), new byte[0], false);
+        }
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String header; (header = line(in)) != null && !header.isEmpty(); ) {
+            headers.put(header.substring(0, header.indexOf(':')), header.substring(header.indexOf(':') + 1).strip());
+        }
+        int code = Integer.parseInt(status.split(" ")[1]);
+        if (code == 100) {
+            return answer(bare);
+        }
+        int length = bare || code == 204 ? 0 : Integer.parseInt(headers.get("Content-Length"));
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        try {
+            while (body.size() < length) {
+                byte[] some = in.readNBytes(Math.min(65536, length - body.size()));
+                body.write(some);
+                if (some.length == 0) {
+                    break;
+                }
+            }
+        } catch (java.net.SocketException reset) {
+            // shows as an answer that is not whole
+        }
+        return new Answer(code, headers, body.toByteArray(), body.size() == length);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c; (c = in.read()) >= 0; ) {
+            if (c == '\n') {
+                return line.toString().strip();
+            }
+            line.append((char) c);
+        }
+        return null;
+    }
+
+    @Override public void close() throws IOException {
+        socket.close();
+    }
+}
