--- /dev/null
+++ b/src/test/java/kelphollow/program/LayersTest.java
@@ -0,0 +1,30 @@
+package kelphollow.program;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Imports go downward only. */
+class LayersTest {
+    @Test void eachLayerKnowsOnlyThoseBelow() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("program").definedBy("kelphollow.program..")
+            .layer("protocol").definedBy("kelphollow.protocol.resp..", "kelphollow.protocol.object..",
+                "kelphollow.protocol.discovery..", "kelphollow.protocol.xds..")
+            .layer("transport").definedBy("kelphollow.transport..")
+            .layer("routing").definedBy("kelphollow.routing..")
+            .layer("adapter").definedBy("kelphollow.adapter..")
+            .layer("json").definedBy("kelphollow.protocol.json..")
+            .layer("decision").definedBy("kelphollow.decision..")
+            .whereLayer("program").mayNotBeAccessedByAnyLayer()
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("transport").mayOnlyBeAccessedByLayers("program", "protocol")
+            .whereLayer("routing").mayOnlyBeAccessedByLayers("program", "protocol", "transport")
+            .whereLayer("adapter").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("json").mayOnlyBeAccessedByLayers("program", "protocol", "adapter")
+            .whereLayer("decision").mayNotAccessAnyLayer()
+            .check(new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kelphollow"));
+    }
+}
--- /dev/null
+++ b/src/test/java/kelphollow/program/XdsTest.java
@@ -0,0 +1,127 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import kelphollow.decision.ControlApi.Phase;
+import kelphollow.program.StandInServer.Stored;
+import kelphollow.protocol.json.Json;
+import kelphollow.protocol.xds.XdsClusters;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Envoy's clusters and endpoints: how they are read, and how a gateway follows them by REST. */
+@Timeout(30)
+class XdsTest {
+    private static final InetSocketAddress ONE = new InetSocketAddress("127.0.0.1", 9101);
+    private static final InetSocketAddress TWO = new InetSocketAddress("127.0.0.1", 9102);
+
+    private static List<?> resources(String text) throws Exception {
+        return List.of(Json.parse(text));
+    }
+
+    @Test void endpointsAreReadInBothSpellings() throws Exception {
+        String text = Bench.assignment("DRAINING", ONE, TWO);
+        var members = XdsClusters.endpoints(resources(text), "dump-store-endpoints", 2);
+        assertEquals(2, members.size());
+        assertEquals("127.0.0.1:9102", members.get(1).entry().node());
+        assertEquals(1, members.get(1).entry().cell());
+        assertEquals(Phase.DRAINING, members.get(1).entry().phase());
+        String camel = text.replace("lb_endpoints", "lbEndpoints").replace("socket_address", "socketAddress")
+            .replace("port_value", "portValue").replace("health_status", "healthStatus")
+            .replace("filter_metadata", "filterMetadata").replace("cluster_name", "clusterName");
+        assertEquals(members, XdsClusters.endpoints(resources(camel), "dump-store-endpoints", 2));
+    }
+
+    @Test void aFaultyResourceIsRejectedAndItsPlaceNamed() throws Exception {
+        String text = Bench.assignment("HEALTHY", ONE, TWO);
+        for (String[] fault : new String[][] {
+            {"\"port_value\":9102", "\"port_value\":99999", "lb_endpoints[1].endpoint.address.socket_address.port_value"},
+            {"\"shard\":1", "\"shard\":7", "lb_endpoints[1].metadata.filter_metadata.kelphollow.shard"},
+            {"HEALTHY", "FINE", "health_status is 'FINE'"}, {"9102", "9101", "127.0.0.1:9101 is there twice"},
+            {"\"endpoints\":[", "\"endpoints\":[7,", "endpoints[0]"}, {"127.0.0.1", "store.example", "no IP address"}}) {
+            assertTrue(text.contains(fault[0]));
+            String bad = text.replace(fault[0], fault[1]);
+            String told = assertThrows(IllegalArgumentException.class,
+                () -> XdsClusters.endpoints(resources(bad), "dump-store-endpoints", 2)).getMessage();
+            assertTrue(told.contains(fault[2]), told);
+        }
+    }
+
+    /** A control plane whose endpoints the test sets; its queue holds how it was asked. */
+    @Test void aDrainingServerGetsNothingNewAndAFaultyAnswerChangesNothing() throws Exception {
+        String[] endpoints = new String[1];
+        int[] version = {1};
+        BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        HttpServer plane = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        plane.createContext("/v3/", exchange -> {
+            String body = new String(exchange.getRequestBody().readAllBytes());
+            boolean clusters = exchange.getRequestURI().getPath().endsWith(":clusters");
+            synchronized (endpoints) {
+                byte[] answer = ("{\"version_info\":\"" + (clusters ? "c" : "e" + version[0]) + "\",\"resources\":[" + (clusters
+                    ? "{\"name\":\"dump-store\",\"eds_cluster_config\":{\"service_name\":\"dump-store-endpoints\"}}" : endpoints[0])
+                    + "]}").getBytes();
+                exchange.sendResponseHeaders(200, answer.length);
+                exchange.getResponseBody().write(answer);
+            }
+            exchange.close();
+            asked.add(body);
+        });
+        plane.start();
+        try (StandInServer server = new StandInServer()) {
+            server.objects.put("/symbols/a", new Stored("x".getBytes(), "\"e\""));
+            endpoints[0] = Bench.assignment("HEALTHY", server.address());
+            Map<String, Object> objects = new HashMap<>(Bench.part(Bench.example(), "objects"));
+            objects.put("shards", 1.0);
+            Map<String, Object> xds = Map.of("cluster", "dump-store", "server", "127.0.0.1:" + plane.getAddress().getPort());
+            try (Bench bench = Bench.objects(Map.of("objects", objects, "xds", xds), server.address());
+                 StandInClient client = new StandInClient(bench.address)) {
+                assertTrue(asked.take().contains("\"resource_names\":[\"dump-store\"]"));
+                assertTrue(asked.take().contains("dump-store-endpoints"));
+                rounds(bench, asked, 1);
+                assertEquals(200, client.call("GET /symbols/a", "", null).status());
+
+                synchronized (endpoints) {
+                    endpoints[0] = "{\"cluster_name\":7}";
+                    version[0]++;
+                }
+                rounds(bench, asked, 1);
+                assertEquals(200, client.call("GET /symbols/a", "", null).status(), "the last good list stands");
+
+                synchronized (endpoints) {
+                    endpoints[0] = Bench.assignment("DRAINING", server.address());
+                    version[0]++;
+                }
+                rounds(bench, asked, 2);
+                int before = server.seen.size();
+                client.send("GET /symbols/a", "", null);
+                bench.loop.submit(() -> { }).sync();
+                bench.ticker.advance(300);
+                assertEquals(503, client.answer().status());
+                assertEquals(before, server.seen.size(), "nothing new went to the draining server");
+            }
+        } finally {
+            plane.stop(0);
+        }
+    }
+
+    /** Moves the clock until the endpoints were asked for so many times more, and the answer to the last was read. */
+    private static void rounds(Bench bench, BlockingQueue<String> asked, int rounds) throws Exception {
+        asked.clear();
+        for (int seen = 0; seen <= rounds; ) {
+            String body = asked.poll(5, TimeUnit.MILLISECONDS);
+            if (body == null) {
+                bench.ticker.advance(10);
+            } else if (body.contains("dump-store-endpoints")) {
+                seen++;
+            }
+        }
+    }
+}
