--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -263,7 +263,9 @@
             answer(r);                     // beyond the limit by more than it can wait: it earns nothing
             return;
         }
-        r.late = now >= r.aimAt;           // a repeat that may still be of some use, if a node is idle
+        r.late = now >= r.aimAt;
+        // A repeat past its aim is still of some use to an idle node; if none is, it is given up at once.
+        if (r.late) r.holdUntil = now + settings.tick();
         if (!r.late) {
             tags.tag(r);
             dues.add(new Due(r.aimAt, r));
@@ -919,11 +921,13 @@
 
     /** When coming again may be of use: the limit holds the units, and what waits here may have gone. */
     private double comeBack(Request r) {
-        double wait = around(), held = heldFor(r).size();
+        // Whatever waits ahead now has left or been given up once an aim is over.
+        double wait = r.kind.aim(), held = heldFor(r).size();
         for (Node n : nodes.values()) {
             if (n.cell == r.in.cell()) {
                 double turn = n.expected() * (1 + held / Math.max(1, n.window));
-                wait = n.usable ? Math.max(n.trickleAt - now, turn) : settings.maxRetryAfter();
+                double later = Math.max(turn, n.trickleAt - now);
+                wait = n.usable ? Math.max(wait, later) : settings.maxRetryAfter();
             }
         }
         return Math.min(settings.maxRetryAfter(), Math.max(wait, r.volume.gate.wait(r.in.units())));
