Read on when a head of the object API comes in several segments

Seen: a request whose head came in two TCP segments was never answered, nor was one with a head over 16 KiB; the connection stood still.

Checked: a probe with a pause inside the head, on the packaged program; the event loop slept in its selector, so nothing was busy. With reads asked for one by one, a read that made no message was not followed by another (ObjectFront.Client). The platform's front reads by itself and is not concerned.

Now a read that is still wanted is asked for again when the last is complete. Test: aHeadInPiecesIsPutTogetherAndOneWithoutEndIsRefused, which timed out before.

--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -114,7 +114,7 @@
         private final Channel channel;
         private Exchange current;
         private HttpRequest next;
-        private boolean closing;
+        private boolean closing, wanting;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -122,10 +122,19 @@
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
+            wanting = true;
             channel.read();
         }
 
+        /** Guards against a head that comes in several segments: a read that made no message must go on. */
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (wanting) {
+                channel.read();
+            }
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            wanting = false;
             if (message instanceof HttpRequest request) {
                 if (current != null) {
                     next = request;      // sent ahead; it waits its turn
@@ -145,6 +154,7 @@
          * is being handed over: the flow control then loses it, and a part sent again stood still for good.
          */
         void readLater() {
+            wanting = true;
             channel.eventLoop().execute(channel::read);
         }
 
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -112,6 +112,19 @@
         return (io.netty.buffer.ByteBufAllocator) field.get(null);
     }
 
+    /** Guards against a head of which only a part has come: the connection stood still for good. */
+    @Test void aHeadInPiecesIsPutTogetherAndOneWithoutEndIsRefused() throws Exception {
+        for (String piece : new String[] {"GET /symb", "ols/a HTTP/1.1\r\nHo", "st: h\r\n\r\n"}) {
+            client.socket.getOutputStream().write(piece.getBytes());
+            bench.loop.submit(() -> { }).sync();
+        }
+        assertArrayEquals(CONTENT, client.answer().body());
+        try (StandInClient other = new StandInClient(bench.address)) {
+            other.socket.getOutputStream().write(("GET /symbols/a HTTP/1.1\r\nX: " + "x".repeat(16 * 1024 + 1)).getBytes());
+            assertEquals(400, other.answer().status());
+        }
+    }
+
     @Test void badInputGetsAnErrorOnItsConnectionOnly() throws Exception {
         for (String[] bad : new String[][] {{"GET /nowhere/a", "", "404"}, {"PATCH /symbols/a", "", "405"},
             {"GET /symbols", "", "501"}, {"GET /symbols/a?acl", "", "501"},
