Close clients of the object front that ask for nothing for the stall time

Seen on reading ObjectFront.Client: a connection without a request, or with half a head, held its descriptor for good; two fifths of the descriptors are all that clients have. A connection that brings no message within stall_ms and is owed nothing is now closed. Test: aClientThatSendsHalfAHeadIsClosedInTime.

--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -115,10 +115,24 @@
         private Exchange current;
         private HttpRequest next;
         private boolean closing, wanting;
+        private long messages;
 
         Client(Channel channel) {
             this.channel = channel;
             clients.add(this);
+            watchIdle();
+        }
+
+        /** Guards descriptors against clients that connect and then ask for nothing, or send half a head. */
+        private void watchIdle() {
+            long before = messages;
+            ticker.after(options.stall(), () -> {
+                if (current == null && messages == before) {
+                    channel.close();
+                } else if (channel.isOpen()) {
+                    watchIdle();
+                }
+            });
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
@@ -135,6 +149,7 @@
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
             wanting = false;
+            messages++;
             if (message instanceof HttpRequest request) {
                 if (current != null) {
                     next = request;      // sent ahead; it waits its turn
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -125,6 +125,15 @@
         }
     }
 
+    @Test void aClientThatSendsHalfAHeadIsClosedInTime() throws Exception {
+        client.socket.getOutputStream().write("GET /symb".getBytes());
+        try (StandInClient other = new StandInClient(bench.address)) {
+            assertEquals(200, other.call("GET /symbols/a", "", null).status());   // by now both are accepted
+        }
+        bench.ticker.advance(10_001);
+        assertEquals(0, client.answer().status(), "closed without an answer");
+    }
+
     @Test void badInputGetsAnErrorOnItsConnectionOnly() throws Exception {
         for (String[] bad : new String[][] {{"GET /nowhere/a", "", "404"}, {"PATCH /symbols/a", "", "405"},
             {"GET /symbols", "", "501"}, {"GET /symbols/a?acl", "", "501"},
