--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -129,6 +129,9 @@
         } else if (event instanceof ListFailed) {
             askAt = this.now + listRetry * (0.5 + random.nextDouble());
             listRetry = Math.min(LIST_RETRY_MAX, 2 * listRetry);
+        } else if (event instanceof ListMoved) {
+            askAt = this.now;              // its news counts as told soon, whether it was asked for or not
+            listRetry = LIST_RETRY;
         } else if (event instanceof ClientGone g) {
             Request r = open.get(g.id());
             if (r != null) {
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -60,6 +60,9 @@
     /** A call for the list failed, or the subscription broke. */
     public record ListFailed() implements Event { }
 
+    /** The list comes from another service from now on. */
+    public record ListMoved() implements Event { }
+
     /** A request has come. {@code cell} is where its data lies, negative for a new object; {@code key} may
      *  be null. */
     public record Arrival(String id, String requestClass, String plan, String key, double deadline,
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -26,12 +26,22 @@
     private final Ticker ticker;
     private final Server server;
     private Front front;
+    private Core core;
+    private InetSocketAddress listAt;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
         this.loop = loop;
         this.ticker = ticker;
-        // Two fifths of the descriptors for clients, half for nodes, the rest for what the program itself holds open.
-        this.server = new Server(sockets * 2 / 5);
+        this.server = new Server(clients(sockets));
+    }
+
+    /** Half of the descriptors are for clients, a third for nodes, the rest for what the program itself holds open. */
+    private static int clients(int sockets) {
+        return sockets / 2;
+    }
+
+    private static int nodes(int sockets) {
+        return sockets / 3;
     }
 
     /** The scheduler of the platform. */
@@ -39,13 +49,13 @@
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
         loop.submit(() -> {
             Pools pools = new Pools(loop, ticker,
-                new Pools.Limits(config.dialTimeout(), config.idleTime(), config.sockets() / 2), RespBackend::codec);
-            Core core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
-                new RespBackend(pools));
+                new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), RespBackend::codec);
+            Core core = scheduler.core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
+                new RespBackend(pools, ticker));
             core.learn(config.known().members(), true, true);
-            core.start(new DiscoveryWatch(new HttpCall(loop, ticker, config.discovery()), text(config.discovery()),
-                core, config.known().version()));
-            scheduler.front = new RespFront(core, ticker);
+            scheduler.listAt = config.discovery();
+            core.start(scheduler.watch(config.discovery(), config.known().version()));
+            scheduler.front = new RespFront(core, ticker, config.settings(), clients(config.sockets()));
         }).syncUninterruptibly();
         return scheduler;
     }
@@ -55,8 +65,8 @@
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
         loop.submit(() -> {
             Pools pools = new Pools(loop, ticker,
-                new Pools.Limits(config.dialTimeout(), config.idleTime(), config.sockets() / 2), ObjectBackend::codec);
-            Core core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
+                new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), ObjectBackend::codec);
+            Core core = scheduler.core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
                 new ObjectBackend(pools, ticker, config.stall()));
             ObjectConfig.Xds xds = config.xds();
             Directory directory = () -> { };
@@ -64,9 +74,7 @@
                 core.learn(xds.inline(), true, false);
             } else {
                 core.learn(List.of(), true, true);
-                directory = new XdsPoll(new HttpCall(loop, ticker, xds.server()), ticker, core, new XdsPoll.Query(
-                    text(xds.server()), xds.cluster(), config.options().shards(), config.name(), "kelphollow",
-                    xds.refresh()));
+                directory = scheduler.poll(config);
             }
             core.start(directory);
             if (xds.server() != null && !config.settings().listMustBeAsked()) {
@@ -77,6 +85,41 @@
         return scheduler;
     }
 
+    private DiscoveryWatch watch(InetSocketAddress discovery, long version) {
+        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version);
+    }
+
+    private XdsPoll poll(ObjectConfig config) {
+        ObjectConfig.Xds xds = config.xds();
+        return new XdsPoll(new HttpCall(loop, ticker, xds.server()), ticker, core, new XdsPoll.Query(text(xds.server()),
+            xds.cluster(), config.options().shards(), config.name(), "kelphollow", xds.refresh()));
+    }
+
+    /**
+     * Follows a new configuration in what can change while requests are open: where the node list comes from. The
+     * new service is asked for the whole list, since its versions have nothing to do with those of the old one.
+     */
+    void reload(Config config) {
+        loop.execute(() -> {
+            if (!config.discovery().equals(listAt)) {
+                listAt = config.discovery();
+                core.follow(watch(listAt, -1));
+            }
+        });
+    }
+
+    /** The same for the object API: the cluster is read or asked for anew. */
+    void reload(ObjectConfig config) {
+        loop.execute(() -> {
+            if (config.xds().server() == null) {
+                core.follow(() -> { });
+                core.learn(config.xds().inline(), true, false);
+            } else {
+                core.follow(poll(config));
+            }
+        });
+    }
+
     /** Listens; returns the address with the port that was given. */
     InetSocketAddress listen(InetSocketAddress address) {
         return server.listen(loop, address, front);
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -15,6 +15,7 @@
 import kelphollow.routing.Invariant;
 import kelphollow.transport.WheelTicker;
 import org.kohsuke.args4j.Option;
+import sun.misc.Signal;
 
 /** {@code serve}: the scheduler. Listens once it is warm and leaves on SIGTERM. */
 public final class Serve implements Main.Command {
@@ -47,11 +48,26 @@
         }
         InetSocketAddress at = scheduler.listen(address);
         LOG.info(() -> "serves at " + Scheduler.text(at));
+        Signal.handle(new Signal("HUP"), signal -> reload(scheduler));
         leaveOnTerm(scheduler, settings);
         group.terminationFuture().sync();
         return 1;
     }
 
+    /** Guards against a file that is bad or half written: it is read whole, and if it has a fault all stays as it was. */
+    private void reload(Scheduler scheduler) {
+        try {
+            if (file != null) {
+                scheduler.reload(ObjectConfig.read(file));
+            } else {
+                scheduler.reload(Config.platform(System.getenv()));
+            }
+            LOG.info("read the configuration again");
+        } catch (Config.Bad | RuntimeException e) {
+            LOG.severe("configuration, the last good one stands: " + e.getMessage());
+        }
+    }
+
     private static void leaveOnTerm(Scheduler scheduler, Settings settings) {
         double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -27,7 +27,7 @@
     private final String host;
     private final Core core;
     private long version;
-    private boolean watching;
+    private boolean watching, stopped;
 
     /** {@code version} is that of the list the scheduler was started with; only changes since then are asked for. */
     public DiscoveryWatch(HttpCall calls, String host, Core core, long version) {
@@ -38,12 +38,18 @@
     }
 
     @Override public void watch() {
-        if (!watching) {
+        if (!watching && !stopped) {
             watching = true;
             call();
         }
     }
 
+    /** Ends the watch. Guards against late news of a service that has been replaced. */
+    @Override public void stop() {
+        stopped = true;
+        calls.close();
+    }
+
     private void call() {
         String path = version < 0 ? "/catalog/members" : "/catalog/members?index=" + version + "&wait=" + WAIT;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
--- a/src/main/java/kelphollow/protocol/object/ObjectBackend.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectBackend.java
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -57,8 +57,8 @@
     }
 
     /** The handlers of a connection to an object server. */
-    public static void codec(Channel channel) {
-        channel.pipeline().addLast(new HttpClientCodec(LARGEST_HEAD, LARGEST_HEAD, LARGEST_PIECE));
+    public static ChannelHandler[] codec() {
+        return new ChannelHandler[] {new HttpClientCodec(LARGEST_HEAD, LARGEST_HEAD, LARGEST_PIECE)};
     }
 
     @Override public void start(Attempt attempt) {
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -27,6 +27,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.security.MessageDigest;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,8 @@
                           double mostUnits, double usualUnits, double largeUnits, int shards, long largestBody,
                           double slowestBytesPerMilli, double stall, int parts) { }
 
+    // Room is made at the expense of connections that have been idle for so long: none that has just come.
+    private static final double SPARED = 250;
     private static final int LARGEST_LINE = 8 * 1024;
     private static final int LARGEST_HEAD = 16 * 1024;
     private static final int LARGEST_PIECE = 16 * 1024;
@@ -81,6 +84,12 @@
             new FlowControlHandler(), new Client(channel));
     }
 
+    /** Guards usual clients against others that hold connections and ask for nothing: the longest idle one goes. */
+    @Override public void makeRoom() {
+        clients.stream().filter(c -> c.current == null && ticker.now() - c.idleSince >= SPARED)
+            .min(Comparator.comparingDouble(c -> c.idleSince)).ifPresent(c -> c.channel.close());
+    }
+
     @Override public void leave(Runnable whenLeft) {
         leaving = whenLeft;
         List.copyOf(clients).forEach(Client::leaveIfIdle);
@@ -116,6 +125,7 @@
         private HttpRequest next;
         private boolean closing, wanting;
         private long messages;
+        private double idleSince = ticker.now();
 
         Client(Channel channel) {
             this.channel = channel;
@@ -188,6 +198,7 @@
         void done(ChannelFuture written, boolean keep) {
             boolean whole = current.bodyRead;
             current = null;
+            idleSince = ticker.now();
             if (!keep || !whole || leaving != null) {
                 closing = true;
                 if (whole) {
--- a/src/main/java/kelphollow/protocol/resp/Resp.java
+++ b/src/main/java/kelphollow/protocol/resp/Resp.java
@@ -1,7 +1,7 @@
 package kelphollow.protocol.resp;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -25,9 +25,9 @@
 
     private Resp() { }
 
-    static void install(Channel channel) {
-        channel.pipeline().addLast(new RedisDecoder(LONGEST_LINE, FixedRedisMessagePool.INSTANCE), new SizeGuard(),
-            new RedisBulkStringAggregator(), new RedisArrayAggregator(MOST_ELEMENTS, 1), new RedisEncoder());
+    static ChannelHandler[] codec() {
+        return new ChannelHandler[] {new RedisDecoder(LONGEST_LINE, FixedRedisMessagePool.INSTANCE), new SizeGuard(),
+            new RedisBulkStringAggregator(), new RedisArrayAggregator(MOST_ELEMENTS, 1), new RedisEncoder()};
     }
 
     /** Guards against a header that announces more than the protocol allows: Netty's own bound is 512 MiB. */
--- a/src/main/java/kelphollow/protocol/resp/RespCommand.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCommand.java
@@ -1,16 +1,21 @@
 package kelphollow.protocol.resp;
 
 import io.netty.handler.codec.redis.RedisMessage;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import kelphollow.decision.ControlApi.Arrival;
 
 /** A client's request on the platform's wire: {@code OBJ.GET} or {@code OBJ.PUT} with its names and values. */
 record RespCommand(String name, byte[] piece, byte[] id, Map<String, String> values, byte[] body) {
     private static final double LONGEST_WAIT = 3_600_000;
     private static final double MOST_UNITS = 1_000_000;
+    private static final Pattern NAME = Pattern.compile("[!-~]{1,128}");
+    // Java's own reading takes "1d", "NaN" and more for numbers, which nodes do not.
+    private static final Pattern NUMBER = Pattern.compile("-?\\d{1,12}(\\.\\d{1,9})?");
 
     /** A request in a form that this protocol does not know; the message goes to the client. */
     static final class Malformed extends Exception {
@@ -21,6 +26,15 @@
         }
     }
 
+    /** The id as text, by which two are told apart. */
+    String idText() {
+        return ascii(id);
+    }
+
+    private static String ascii(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
     static RespCommand read(List<RedisMessage> words) throws Malformed {
         String name = Resp.text(words.get(0)).toUpperCase(java.util.Locale.ROOT);
         int expected = name.equals("OBJ.PUT") ? 5 : 4;
@@ -42,6 +56,9 @@
                 throw new Malformed("'" + pair + "' is not a name with its value, given once");
             }
         }
+        if (!NAME.matcher(ascii(parts.get(1))).matches() || !NAME.matcher(ascii(parts.get(2))).matches()) {
+            throw new Malformed("the piece or the id is missing or no word");
+        }
         RespCommand command = new RespCommand(name, parts.get(1), parts.get(2), values,
             expected == 5 ? parts.get(4) : null);
         command.facts(0);
@@ -50,7 +67,7 @@
 
     /** What the module is told, for a request that came at {@code now}. */
     Arrival facts(double now) throws Malformed {
-        return new Arrival("", word("c"), word("t"), new String(piece, java.nio.charset.StandardCharsets.UTF_8),
+        return new Arrival("", word("c"), word("t"), ascii(piece),
             now + number("d", Double.NaN, 0, LONGEST_WAIT), word("volume"), number("units", 1, 0, MOST_UNITS),
             (int) number("shard", -1, -1, Integer.MAX_VALUE), (int) number("hosts", 1, 1, 1_000_000));
     }
@@ -78,13 +95,11 @@
 
     private double number(String key, double absent, double least, double most) throws Malformed {
         String value = values.get(key);
-        try {
+        if (value == null || NUMBER.matcher(value).matches()) {
             double number = value == null ? absent : Double.parseDouble(value);
             if (number >= least && number <= most) {
                 return number;
             }
-        } catch (NumberFormatException e) {
-            // told below, as a figure out of range is
         }
         throw new Malformed("'" + key + "' must be a number from " + (long) least + " to " + (long) most);
     }
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -1,6 +1,7 @@
 package kelphollow.protocol.resp;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,12 +11,15 @@
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import kelphollow.decision.ControlApi.Arrival;
+import kelphollow.decision.ControlApi.Settings;
 import kelphollow.routing.Caller;
 import kelphollow.routing.Core;
 import kelphollow.routing.Request;
@@ -27,22 +31,69 @@
     private static final Logger LOG = Logger.getLogger(RespFront.class.getName());
     // Requests of one connection that may be open at once; further ones stay in the socket until some are answered.
     private static final int MOST_OPEN = 256;
+    // A connection that was never asked on, or with which a command came only in part, may stand still for so long.
+    private static final double SILENT = 2_200;
+    // One that has been asked on is kept longer, as long as there is room; no command may take longer to come.
+    private static final double IDLE = 10_000;
+    private static final double SWEEP = 100;
+    // Room is made at the expense of connections that have been idle for so long: none that has just come.
+    private static final double SPARED = 250;
+    // After so many commands that are none, each further one stops the reading of its connection for a time.
+    private static final int FORGIVEN = 3;
+    private static final double PENANCE = 50;
 
     private final Core core;
     private final Ticker ticker;
+    private final int mostClients;
+    private final Set<String> classes = new HashSet<>();
+    private final Set<String> plans = new HashSet<>();
+    /** In the order of their last sign of life. */
     private final Set<Client> clients = new LinkedHashSet<>();
+    /** Ids of requests that are open: nodes see them, so that no two may be alike. */
+    private final Set<String> openIds = new HashSet<>();
     private Runnable leaving;
 
-    public RespFront(Core core, Ticker ticker) {
+    /** {@code mostClients} is how many connections there may be in all. */
+    public RespFront(Core core, Ticker ticker, Settings settings, int mostClients) {
         this.core = core;
         this.ticker = ticker;
+        this.mostClients = mostClients;
+        settings.classes().forEach(c -> classes.add(c.name()));
+        settings.plans().forEach(p -> plans.add(p.name()));
+        sweepLater();
     }
 
     @Override public void accept(Channel channel) {
-        Resp.install(channel);
+        channel.pipeline().addLast(Resp.codec());
         channel.pipeline().addLast(new Client(channel));
     }
 
+    /** Guards descriptors and memory against clients that connect and say nothing, half a command, or nothing more. */
+    private void sweepLater() {
+        ticker.after(SWEEP, () -> {
+            boolean crowded = clients.size() > mostClients / 2;
+            List.copyOf(clients).stream().filter(c -> c.isIdle() && c.hasBeenKeptEnough(crowded)).forEach(c -> c.channel.close());
+            sweepLater();
+        });
+    }
+
+    /** Those that never asked go first, then those that have been idle longest. */
+    @Override public void makeRoom() {
+        double now = ticker.now();
+        Client oldest = null;
+        for (Client client : clients) {
+            if (now - client.heardAt < SPARED) {
+                break;
+            }
+            if (client.isIdle() && (oldest == null || oldest.asked && !client.asked)) {
+                oldest = client;
+            }
+        }
+        if (oldest != null) {
+            oldest.channel.close();
+        }
+    }
+
     @Override public void leave(Runnable whenLeft) {
         leaving = whenLeft;
         List.copyOf(clients).forEach(Client::flushAnswers);
@@ -59,16 +110,38 @@
     private final class Client extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private boolean closing;
+        private boolean closing, asked, partly, reading, unflushed, doingPenance;
+        private double heardAt = ticker.now(), askedAt = heardAt;
+        private ChannelFuture lastAnswer;
+        private int refused;
 
         Client(Channel channel) {
             this.channel = channel;
             clients.add(this);
         }
 
+        /** Nothing is owed on it: no request is open and the last answer has left. */
+        boolean isIdle() {
+            return slots.isEmpty() && (lastAnswer == null || lastAnswer.isDone());
+        }
+
+        boolean hasBeenKeptEnough(boolean crowded) {
+            double still = ticker.now() - heardAt;
+            return still >= (!asked || partly || crowded ? SILENT : IDLE)
+                || partly && ticker.now() - askedAt >= IDLE;
+        }
+
+        private void heard() {
+            heardAt = ticker.now();
+            clients.remove(this);
+            clients.add(this);
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            reading = true;
             try {
                 if (!closing) {
+                    askedAt = ticker.now();
                     command((RedisMessage) message);
                 }
             } finally {
@@ -84,20 +157,45 @@
                 refuseMore(slot, "ERR Protocol error: expected a command");
                 return;
             }
+            asked = true;
             String name = Resp.text(array.children().get(0)).toUpperCase(Locale.ROOT);
             switch (name) {
                 case "PING" -> slot.answer(new SimpleStringRedisMessage("PONG"));
                 case "CLIENT", "SELECT" -> slot.answer(new SimpleStringRedisMessage("OK"));
                 case "OBJ.GET", "OBJ.PUT" -> {
                     try {
-                        RespCommand command = RespCommand.read(array.children());
-                        Request request = core.take(command.facts(ticker.now()), command, slot);
-                        slot.request = slot.reply == null ? request : null;
+                        take(slot, RespCommand.read(array.children()));
                     } catch (RespCommand.Malformed e) {
-                        slot.answer(new ErrorRedisMessage("ERR " + clean(e.getMessage())));
+                        refuse(slot, clean(e.getMessage()));
                     }
                 }
-                default -> slot.answer(new ErrorRedisMessage("ERR unknown command"));
+                default -> refuse(slot, "unknown command");
+            }
+        }
+
+        private void take(Slot slot, RespCommand command) throws RespCommand.Malformed {
+            Arrival facts = command.facts(ticker.now());
+            if (!classes.contains(facts.requestClass()) || !plans.contains(facts.plan())) {
+                throw new RespCommand.Malformed("class or plan is not known");
+            }
+            if (!openIds.add(command.idText())) {
+                throw new RespCommand.Malformed("a request with this id is open");
+            }
+            slot.id = command.idText();
+            Request request = core.take(facts, command, slot);
+            slot.request = slot.reply == null ? request : null;
+        }
+
+        /** Guards against floods of commands that are none: each is answered, but the next is read after a pause. */
+        private void refuse(Slot slot, String error) {
+            slot.answer(new ErrorRedisMessage("ERR " + error));
+            if (++refused > FORGIVEN && !doingPenance) {
+                doingPenance = true;
+                throttle();
+                ticker.after(PENANCE, () -> {
+                    doingPenance = false;
+                    throttle();
+                });
             }
         }
 
@@ -108,13 +206,15 @@
         }
 
         void flushAnswers() {
-            boolean wrote = false;
             while (!slots.isEmpty() && slots.peek().reply != null) {
-                channel.write(slots.poll().reply);
-                wrote = true;
+                lastAnswer = channel.write(slots.poll().reply);
+                unflushed = true;
             }
-            if (wrote) {
+            if (unflushed && !reading) {   // answers to what was read at once leave at once
+                unflushed = false;
                 channel.flush();
+                askedAt = ticker.now();
+                heard();
             }
             if (slots.isEmpty() && (closing || leaving != null)) {
                 closing = true;
@@ -126,7 +226,7 @@
 
         /** Guards memory against a client that sends faster than it reads. */
         private void throttle() {
-            channel.config().setAutoRead(slots.size() < MOST_OPEN && channel.isWritable());
+            channel.config().setAutoRead(!closing && !doingPenance && slots.size() < MOST_OPEN && channel.isWritable());
         }
 
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -134,13 +234,17 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            throttle();
+            partly = !reading;
+            reading = false;
+            heard();
+            flushAnswers();
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             closing = true;
             clients.remove(this);
             for (Slot slot : slots) {
+                openIds.remove(slot.id);
                 if (slot.request != null) {
                     core.gone(slot.request);
                 }
@@ -166,10 +270,11 @@
     }
 
     /** The place of one command's answer among those of its connection. */
-    private static final class Slot implements Caller {
+    private final class Slot implements Caller {
         private final Client client;
         private Request request;
         private RedisMessage reply;
+        private String id;
 
         Slot(Client client) {
             this.client = client;
@@ -178,6 +283,7 @@
         void answer(RedisMessage message) {
             reply = message;
             request = null;
+            openIds.remove(id);
             client.flushAnswers();
         }
 
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -44,7 +44,7 @@
         core.learn(members, true, true);
         core.start(() -> { });
         EmbeddedChannel client = new EmbeddedChannel();
-        new RespFront(core, world).accept(client);
+        new RespFront(core, world, settings, 1).accept(client);
         int served = 0;
         for (int i = 0; i < REQUESTS && System.nanoTime() < end; i++) {
             var kind = settings.classes().get(i % settings.classes().size());
@@ -79,7 +79,7 @@
         private double now = 1_000;
 
         Loopless() {
-            Resp.install(node);
+            node.pipeline().addLast(Resp.codec());
         }
 
         @Override public double now() {
--- a/src/main/java/kelphollow/protocol/xds/XdsPoll.java
+++ b/src/main/java/kelphollow/protocol/xds/XdsPoll.java
@@ -37,7 +37,7 @@
     private final Ticker ticker;
     private final Core core;
     private final Query query;
-    private boolean watching;
+    private boolean watching, stopped;
     private String clusterVersion = "", endpointVersion = "";
     private XdsClusters.Cluster cluster;
 
@@ -49,13 +49,21 @@
     }
 
     @Override public void watch() {
-        if (!watching) {
+        if (!watching && !stopped) {
             watching = true;
             askClusters();
         }
     }
 
+    @Override public void stop() {
+        stopped = true;
+        calls.close();
+    }
+
     private void askClusters() {
+        if (stopped) {
+            return;
+        }
         ask("clusters", XdsClusters.CLUSTER, query.cluster(), clusterVersion, (version, resources) -> {
             if (resources != null) {
                 XdsClusters.Cluster news = XdsClusters.cluster(resources, query.cluster(), query.shards());
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -43,6 +43,13 @@
         drainEvents();
     }
 
+    /** From now on the list comes from another directory, which is asked at once; all that is open goes on. */
+    public void follow(Directory next) {
+        directory.stop();
+        directory = next;
+        tell(new ListMoved());
+    }
+
     double now() {
         return ticker.now();
     }
--- a/src/main/java/kelphollow/routing/Directory.java
+++ b/src/main/java/kelphollow/routing/Directory.java
@@ -4,4 +4,7 @@
 public interface Directory {
     /** Asks for the list and all later changes; does nothing while an earlier such call goes on. */
     void watch();
+
+    /** Another takes its place: it tells nothing from now on. */
+    default void stop() { }
 }
--- a/src/main/java/kelphollow/transport/Front.java
+++ b/src/main/java/kelphollow/transport/Front.java
@@ -7,6 +7,9 @@
     /** Gives a new connection its handlers. */
     void accept(Channel channel);
 
+    /** Closes one connection that is owed nothing, so that a new one can come; does nothing if there is none. */
+    void makeRoom();
+
     /** Closes each connection as soon as it is owed nothing; runs the task once the last is closed. */
     void leave(Runnable whenLeft);
 }
--- a/src/main/java/kelphollow/transport/HttpCall.java
+++ b/src/main/java/kelphollow/transport/HttpCall.java
@@ -72,6 +72,17 @@
             });
     }
 
+    /** Gives up what is under way without a word and closes the connection. */
+    public void close() {
+        pending = null;
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
     private void end(FullHttpResponse response, String why) {
         Reply reply = pending;
         pending = null;
--- a/src/main/java/kelphollow/transport/Link.java
+++ b/src/main/java/kelphollow/transport/Link.java
@@ -1,11 +1,16 @@
 package kelphollow.transport;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 
-/** One dialled connection to a node. It carries one exchange at a time, so that none waits behind another. */
+/**
+ * One dialled connection to a node. It carries one exchange at a time, so that none waits behind another. Its codec
+ * is there only while an exchange goes on: what a node sends behind an answer, or unasked, then comes here as it is
+ * and closes the connection. Guards against taking such bytes for the answer to the next request.
+ */
 public final class Link extends ChannelInboundHandlerAdapter {
     /** Who uses the connection just now. After {@link #broken} or {@link Link#release} it hears nothing more. */
     public interface User {
@@ -18,6 +23,9 @@
         /** All that was written so far is in the kernel's hands, or the socket is full: see {@link Channel#isWritable}. */
         default void writable(Link link) { }
 
+        /** Bytes have come that make no message yet. */
+        default void partly(Link link) { }
+
         /** The connection was not made, has ended, or brought what its codec cannot read. */
         void broken(Link link, Throwable cause);
     }
@@ -27,7 +35,7 @@
     double idleSince;
     private User user;
     private Channel channel;
-    private boolean closed;
+    private boolean closed, reading, settling;
 
     Link(Pools pools, Pools.Shelf shelf, User user) {
         this.pools = pools;
@@ -37,7 +45,12 @@
 
     void use(User next) {
         user = next;
-        next.up(this);
+        begin();
+    }
+
+    private void begin() {
+        channel.pipeline().addFirst(pools.codec());
+        user.up(this);
     }
 
     public Channel channel() {
@@ -48,10 +61,16 @@
         return user == who;
     }
 
-    /** Gives the connection back; it is kept for the next exchange if it stands. */
+    /** Gives the connection back; it is kept for the next exchange if it stands and nothing came behind the answer. */
     public void release() {
         user = null;
-        if (!closed) {
+        // The decoder hands on what it has not read yet when it is taken away: see channelRead.
+        for (ChannelHandler first; !closed && (first = channel.pipeline().first()) != this; ) {
+            channel.pipeline().remove(first);
+        }
+        if (reading) {
+            settling = true;
+        } else if (!closed) {
             pools.keep(this);
         }
     }
@@ -72,11 +91,13 @@
         if (user == null) {
             ctx.close();       // given up while it was dialled
         } else {
-            user.up(this);
+            idleSince = pools.now();
+            begin();
         }
     }
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+        reading = true;
         if (user == null) {
             ReferenceCountUtil.release(message);
             ctx.close();       // a node speaks only when asked
@@ -85,6 +106,20 @@
         }
     }
 
+    @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+        boolean whole = reading;
+        reading = false;
+        if (settling) {
+            settling = false;
+            if (!closed && channel.isActive()) {
+                idleSince = pools.now();
+                pools.keep(this);
+            }
+        } else if (user != null && !whole) {
+            user.partly(this);
+        }
+    }
+
     @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (user != null && ctx.channel().isWritable()) {
             user.writable(this);
--- a/src/main/java/kelphollow/transport/Pools.java
+++ b/src/main/java/kelphollow/transport/Pools.java
@@ -1,16 +1,17 @@
 package kelphollow.transport;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.Supplier;
 import kelphollow.routing.Ticker;
 
 /**
@@ -21,20 +22,30 @@
     /** What is held at most and how long; times in milliseconds. */
     public record Limits(int connectTimeout, double idleTime, int connections) { }
 
-    /** The connections to one node that carry nothing. */
+    // Guards against what a node sends right behind an answer: it may come a moment later, and by then no other
+    // request must wait for an answer on that connection.
+    private static final double SETTLE = 20;
+
+    /** The connections to one node that carry nothing, and how many there are in all. */
     static final class Shelf {
         final ArrayDeque<Link> idle = new ArrayDeque<>();
+        private final String node;
+        private int all;
+
+        Shelf(String node) {
+            this.node = node;
+        }
     }
 
     private final EventLoop loop;
     private final Ticker ticker;
     private final Limits limits;
-    private final Consumer<Channel> codec;
+    private final Supplier<ChannelHandler[]> codec;
     private final Map<String, Shelf> shelves = new HashMap<>();
     private int connections;
     private long dialled;
 
-    public Pools(EventLoop loop, Ticker ticker, Limits limits, Consumer<Channel> codec) {
+    public Pools(EventLoop loop, Ticker ticker, Limits limits, Supplier<ChannelHandler[]> codec) {
         this.loop = loop;
         this.ticker = ticker;
         this.limits = limits;
@@ -44,10 +55,15 @@
 
     /** Hands a connection to the user by {@link Link.User#up}, at once or when dialled. */
     public Link lease(String node, InetSocketAddress address, Link.User user) {
-        Shelf shelf = shelves.computeIfAbsent(node, n -> new Shelf());
-        Link kept;
-        while ((kept = shelf.idle.pollLast()) != null) {
-            if (kept.channel().isActive() && ticker.now() - kept.idleSince < limits.idleTime()) {
+        Shelf shelf = shelves.computeIfAbsent(node, n -> new Shelf(n));
+        double now = ticker.now();
+        for (Iterator<Link> latest = shelf.idle.descendingIterator(); latest.hasNext(); ) {
+            Link kept = latest.next();
+            if (now - kept.idleSince < SETTLE) {
+                continue;
+            }
+            latest.remove();
+            if (kept.channel().isActive() && now - kept.idleSince < limits.idleTime()) {
                 kept.use(user);
                 return kept;
             }
@@ -55,6 +71,7 @@
         }
         Link link = new Link(this, shelf, user);
         connections++;
+        shelf.all++;
         if (connections > limits.connections()) {
             link.ended(new java.io.IOException("no more than " + limits.connections() + " connections to nodes"));
             return link;
@@ -64,12 +81,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.ALLOCATOR, Server.ALLOCATOR)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override protected void initChannel(Channel channel) {
-                    codec.accept(channel);
-                    channel.pipeline().addLast(link);
-                }
-            })
+            .handler(link)
             .connect(address).addListener(connect -> {
                 if (!connect.isSuccess()) {
                     link.ended(connect.cause());
@@ -97,20 +109,31 @@
         return dialled;
     }
 
+    double now() {
+        return ticker.now();
+    }
+
+    ChannelHandler[] codec() {
+        return codec.get();
+    }
+
     void keep(Link link) {
-        link.idleSince = ticker.now();
         link.shelf.idle.addLast(link);
     }
 
     void forget(Link link) {
         connections--;
         link.shelf.idle.remove(link);
+        // Guards memory on days on which nodes come under ever new ids.
+        if (--link.shelf.all == 0) {
+            shelves.remove(link.shelf.node, link.shelf);
+        }
     }
 
     private void sweepLater() {
         ticker.after(limits.idleTime() / 8, () -> {
             double old = ticker.now() - limits.idleTime() * 7 / 8;
-            for (Shelf shelf : shelves.values()) {
+            for (Shelf shelf : List.copyOf(shelves.values())) {
                 while (!shelf.idle.isEmpty() && shelf.idle.peekFirst().idleSince < old) {
                     shelf.idle.pollFirst().close();
                 }
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -32,6 +32,9 @@
             .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
+                    if (connections >= mostConnections) {
+                        front.makeRoom();
+                    }
                     if (connections >= mostConnections) {
                         channel.close();   // descriptors are few; nothing was taken on it yet
                         return;
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -23,7 +23,9 @@
     final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
     final ManualTicker ticker = new ManualTicker(loop);
+    static final int SOCKETS = 48;
     private Scheduler scheduler;
+    private Config config;
     InetSocketAddress address;
 
     static Map<String, Object> example() throws IOException {
@@ -50,11 +52,16 @@
             members.add(new Member(new NodeEntry("n" + members.size(), "a", members.size(), Phase.HEALTHY, 0), node));
         }
         settings.put("discovery", discovery == null ? "automatic" : "subscribe");
-        bench.start(Scheduler.of(new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1, 1024, 250, 12_000,
-            new Members(1, true, members), Config.settings(settings)), bench.loop, bench.ticker));
+        bench.config = new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1,
+            SOCKETS, 250, 12_000, new Members(1, true, members), Config.settings(settings));
+        bench.start(Scheduler.of(bench.config, bench.loop, bench.ticker));
         return bench;
     }
 
+    void reload(InetSocketAddress discovery) {
+        scheduler.reload(new Config("test", null, discovery, 1, SOCKETS, 250, 12_000, config.known(), config.settings()));
+    }
+
     /** The gateway of the object API over these object servers. */
     static Bench objects(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
         Bench bench = new Bench();
--- a/src/test/java/kelphollow/program/ExchangeTest.java
+++ b/src/test/java/kelphollow/program/ExchangeTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.io.IOException;
+import java.io.PushbackInputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +26,7 @@
  * N&gt; bytes   the node sends             N&lt; bytes   the node gets just these
  * C close    the client closes          C end      the client's connection has been closed; so for N
  * T 250      the clock moves on by so many milliseconds
+ * W 250      the clock moves on until the next step's peer has got something, by so many milliseconds at most
  * </pre>
  * {@code \r}, {@code \n} and {@code \\} are escapes, {@code \*N} repeats the byte before it N times in all. A line that
  * begins with blanks goes on with the one before. C2 is a second client's connection, N2 a node's second one.
@@ -51,10 +54,11 @@
         try (ServerSocket node = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
             node.setSoTimeout(GUARD_MILLIS);
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", node.getLocalPort());
-            Map<String, Socket> sockets = new HashMap<>();
+            Map<String, Peer> sockets = new HashMap<>();
             try (Bench bench = platform ? Bench.resp(null, at) : Bench.objects(oneShard(), at)) {
                 int number = 0;
-                for (String step : steps(file)) {
+                List<String> steps = steps(file);
+                for (String step : steps) {
                     number++;
                     String where = file.getFileName() + " step " + number + ": " + step;
                     String[] words = step.split(" ", 2);
@@ -62,40 +66,69 @@
                         bench.ticker.advance(Integer.parseInt(words[1].strip()));
                         continue;
                     }
-                    String who = words[0].replaceAll("[<>]", "");
+                    if (words[0].equals("W")) {
+                        wait(bench, sockets.get(who(steps.get(number))), Integer.parseInt(words[1].strip()));
+                        continue;
+                    }
+                    String who = who(step);
                     if (!sockets.containsKey(who)) {
                         Socket socket = who.startsWith("N") ? node.accept()
                             : new Socket(bench.address.getAddress(), bench.address.getPort());
                         socket.setSoTimeout(GUARD_MILLIS);
                         socket.setTcpNoDelay(true);
-                        sockets.put(who, socket);
+                        sockets.put(who, new Peer(socket, new PushbackInputStream(socket.getInputStream())));
                     }
                     step(sockets.get(who), words[0], words[1], where);
                 }
             } finally {
-                for (Socket socket : sockets.values()) {
-                    socket.close();
+                for (Peer peer : sockets.values()) {
+                    peer.socket.close();
+                }
+            }
+        }
+    }
+
+    private record Peer(Socket socket, PushbackInputStream in) { }
+
+    private static String who(String step) {
+        return step.split(" ", 2)[0].replaceAll("[<>]", "");
+    }
+
+    /** The clock must not outrun the sockets: it moves a little at a time, and stops when there is something to read. */
+    private static void wait(Bench bench, Peer peer, int most) throws IOException {
+        peer.socket.setSoTimeout(1);
+        for (int i = 0; i <= most; i++) {
+            try {
+                int next = peer.in.read();
+                if (next >= 0) {
+                    peer.in.unread(next);
                 }
+                break;
+            } catch (SocketTimeoutException e) {
+                bench.ticker.advance(1);
+            } catch (java.net.SocketException reset) {
+                break;
             }
         }
+        peer.socket.setSoTimeout(GUARD_MILLIS);
     }
 
-    private static void step(Socket socket, String what, String rest, String where) throws IOException {
+    private static void step(Peer peer, String what, String rest, String where) throws IOException {
         if (rest.equals("close")) {
-            socket.close();
+            peer.socket.close();
         } else if (rest.equals("end")) {
             int next;
             try {
-                next = socket.getInputStream().read();
+                next = peer.in.read();
             } catch (java.net.SocketException reset) {
                 next = -1;
             }
             assertEquals(-1, next, where);
         } else if (what.endsWith(">")) {
-            socket.getOutputStream().write(bytes(rest));
+            peer.socket.getOutputStream().write(bytes(rest));
         } else {
             byte[] expected = bytes(rest);
-            byte[] got = socket.getInputStream().readNBytes(expected.length);
+            byte[] got = peer.in.readNBytes(expected.length);
             assertEquals(new String(expected, StandardCharsets.ISO_8859_1), new String(got, StandardCharsets.ISO_8859_1),
                 where);
         }
--- /dev/null
+++ b/src/test/java/kelphollow/program/ReloadTest.java
@@ -0,0 +1,67 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A new configuration under load, and what the program does about the service it names. */
+@Timeout(20)
+class ReloadTest {
+    /** A discovery that notes how it is asked and answers each call when the test says so. */
+    private static final class Discovery implements AutoCloseable {
+        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        private final HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+
+        Discovery() throws IOException {
+            server.createContext("/catalog/members", exchange -> {
+                asked.add(exchange.getRequestURI().toString());
+                try {
+                    byte[] answer = answers.take().getBytes(StandardCharsets.UTF_8);
+                    exchange.sendResponseHeaders(200, answer.length);
+                    exchange.getResponseBody().write(answer);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                exchange.close();
+            });
+            server.start();
+        }
+
+        InetSocketAddress address() {
+            return server.getAddress();
+        }
+
+        @Override public void close() {
+            answers.add("{}");
+            server.stop(0);
+        }
+    }
+
+    @Test void theNewDiscoveryIsAskedForTheWholeListAndTheOldOneNoMore() throws Exception {
+        try (Discovery old = new Discovery(); Discovery next = new Discovery()) {
+            try (Bench bench = Bench.resp(old.address())) {
+                assertEquals("/catalog/members?index=1&wait=20000", old.asked.poll(10, TimeUnit.SECONDS));
+                bench.reload(next.address());
+                assertEquals("/catalog/members", next.asked.poll(10, TimeUnit.SECONDS), "versions of the old one mean nothing");
+                next.answers.add("{\"seq\":7,\"whole\":true,\"hosts\":[]}");
+                assertEquals("/catalog/members?index=7&wait=20000", next.asked.poll(10, TimeUnit.SECONDS));
+                old.answers.add("{\"seq\":90,\"whole\":true,\"hosts\":[]}");   // a late answer of the old watch
+                next.answers.add("{\"seq\":8,\"whole\":false,\"hosts\":[]}");
+                assertEquals("/catalog/members?index=8&wait=20000", next.asked.poll(10, TimeUnit.SECONDS));
+                assertTrue(old.asked.isEmpty());
+                bench.reload(next.address());
+                bench.ticker.advance(5_000);
+                assertTrue(next.asked.isEmpty(), "the watch goes on if its address is the same");
+            }
+        }
+    }
+}
