Start from a class archive, serve on after SIGTERM, and forget nodes that have gone

Logs: a restarted one needs 3.5 s to serve; one that gets SIGTERM leaves after 0.6 to 0.9 s, though its clients have no other and it is killed 3.7 s after SIGTERM at the soonest.

Checked: a start takes 1.95 s of CPU, and a scheduler has half a core. Without the warm-up it is 0.96 s, with a class archive 0.54 s; 200 warm-up requests cost 0.65 s more and 3,000 another 0.15 s.

After SIGTERM the platform's connections are served until 1.3 s before the kill, and 0.3 s before it the module gives all that is open its final answer (Leaving).

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -76,7 +76,7 @@
     private final Tags tags = new Tags();
     private List<Action> out = new ArrayList<>();
     private double now, wakeAt = Double.POSITIVE_INFINITY, listRetry = LIST_RETRY;
-    private double askAt = Double.POSITIVE_INFINITY;
+    private double askAt = Double.POSITIVE_INFINITY, leaveBy = Double.POSITIVE_INFINITY;
     private double largest, around, aroundAt;
     private long orders, planStamp;
 
@@ -129,6 +129,12 @@
         } else if (event instanceof ListFailed) {
             askAt = this.now + listRetry * (0.5 + random.nextDouble());
             listRetry = Math.min(LIST_RETRY_MAX, 2 * listRetry);
+        } else if (event instanceof Leaving l) {
+            leaveBy = l.by();
+            for (Request r : open.values()) {
+                r.answerAt = Math.min(r.answerAt, leaveBy);
+                dues.add(new Due(r.answerAt, r));
+            }
         } else if (event instanceof ListMoved) {
             askAt = this.now;              // its news counts as told soon, whether it was asked for or not
             listRetry = LIST_RETRY;
@@ -157,6 +163,9 @@
         return flush();
     }
 
+    /** How many nodes it keeps anything of. */
+    int nodesKnown() { return nodes.size(); }
+
     private void heard(String id, int number) {
         Attempt a = attempts.get(id + '#' + number);
         if (a != null) a.heardAt = now;
@@ -254,7 +263,7 @@
         r.order = orders++;
         r.luck = random.nextDouble();
         r.arrived = now;
-        r.answerAt = a.deadline() - ANSWER_TICKS * settings.tick();
+        r.answerAt = Math.min(leaveBy, a.deadline() - ANSWER_TICKS * settings.tick());
         r.holdUntil = now + HOLD_PART * (a.deadline() - now);
         // What lacks from the class's deadline was spent on earlier tries; the aim counts from the first.
         double spent = Math.max(0, kind.deadline() - (a.deadline() - now));
@@ -494,7 +503,7 @@
         final String id;
         final String zone;
         final int cell;
-        boolean usable;
+        boolean usable, listed;
         double born;
         final Map<String, Attempt> flying = new LinkedHashMap<>();
         final ArrayDeque<double[]> sentUnits = new ArrayDeque<>();
@@ -545,6 +554,9 @@
             return r.kind.effect() == Effect.SAFE && !r.late && spare > CALM * took ? spare : 0;
         }
 
+        /** Gone, and nothing is out there. Guards memory against nodes that come under ever new ids. */
+        boolean isDone() { return !listed && flying.isEmpty(); }
+
         boolean suspect() { return failures > 0; }
 
         double target() { return Math.min(NEAR_BEST * best, shortestAim * AIM_PART); }
@@ -675,11 +687,13 @@
         if (list.whole()) {
             for (Node n : nodes.values()) {
                 n.usable = false;
+                n.listed = false;
             }
         }
         for (NodeEntry e : list.nodes()) {
             Node n = nodes.computeIfAbsent(e.node(), k -> new Node(e));
             n.usable = e.phase() == Phase.HEALTHY;
+            n.listed = e.phase() != Phase.GONE;
             if (e.born() > n.born) {
                 n.born = e.born();
                 if (n.young()) {
@@ -689,6 +703,7 @@
                 }
             }
         }
+        nodes.values().removeIf(Node::isDone);
     }
 
     // ---------------------------------------------------------------- sending
@@ -855,6 +870,7 @@
         Request r = a.request;
         Node n = a.node;
         n.flying.remove(d.id() + '#' + d.attempt());
+        if (n.isDone()) nodes.remove(n.id, n);
         learnUse(r.volume, d);
         if (d.outcome() == Outcome.SERVED) {
             n.served(a, d.took());
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -60,6 +60,9 @@
     /** A call for the list failed, or the subscription broke. */
     public record ListFailed() implements Event { }
 
+    /** This instance ends soon: what is open at that time gets its final answer then. */
+    public record Leaving(double by) implements Event { }
+
     /** The list comes from another service from now on. */
     public record ListMoved() implements Event { }
 
--- a/src/main/java/kelphollow/program/Main.java
+++ b/src/main/java/kelphollow/program/Main.java
@@ -22,6 +22,7 @@
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "adapter", impl = AdapterCommand.class),
+        @SubCommand(name = "train", impl = Train.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
@@ -44,7 +45,7 @@
         } catch (CmdLineException e) {
             err.println("kelphollow: " + e.getMessage());
             err.println("usage: java -jar kelphollow.jar serve [--config FILE] | adapter"
-                + " | check-config [--config FILE] | version");
+                + " | check-config [--config FILE] | train --config FILE | version");
             return USAGE;
         }
         try {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import kelphollow.decision.Control;
+import kelphollow.decision.ControlApi.RequestClass;
 import kelphollow.protocol.discovery.DiscoveryWatch;
 import kelphollow.protocol.object.ObjectBackend;
 import kelphollow.protocol.object.ObjectFront;
@@ -21,13 +22,21 @@
 /** One scheduler, wired: a front, the core with its module, a backend and a directory, all on one event loop. */
 final class Scheduler {
     // After SIGTERM new connections keep coming for up to 0.4 s; they are taken for a little longer than that.
-    static final double LISTEN_ON = 450;
+    private static final double LISTEN_ON = 450;
+    // The platform kills no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after SIGTERM.
+    private static final double LONGEST_COUNTED = 3_000;
+    private static final double KILLED_AFTER = 700;
+    // So long before that all has been answered, with time for what is slow on its way.
+    private static final double LAST_ANSWERS = 300;
+    // And so long before that nothing new is taken any more: enough for most requests to be served.
+    private static final double LAST_REQUESTS = 1_300;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
     private Front front;
     private Core core;
     private InetSocketAddress listAt;
+    private double serveOn = LISTEN_ON, answerBy = Double.POSITIVE_INFINITY;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
         this.loop = loop;
@@ -47,6 +56,10 @@
     /** The scheduler of the platform. */
     static Scheduler of(Config config, EventLoop loop, Ticker ticker) {
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
+        double killed = KILLED_AFTER + Math.min(LONGEST_COUNTED, config.settings().classes().stream()
+            .mapToDouble(RequestClass::deadline).max().orElse(0));
+        scheduler.serveOn = Math.max(LISTEN_ON, killed - LAST_REQUESTS);
+        scheduler.answerBy = killed - LAST_ANSWERS;
         loop.submit(() -> {
             Pools pools = new Pools(loop, ticker,
                 new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), RespBackend::codec);
@@ -125,12 +138,26 @@
         return server.listen(loop, address, front);
     }
 
-    /** Takes new connections a little longer, answers all that was taken, then runs the task. */
+    /**
+     * Takes new connections a little longer, answers all that was taken, then runs the task. The platform's clients
+     * have no other scheduler and go on using the connections they have: those are served for as long as there is
+     * time, since what they ask after the last one was closed is lost to them.
+     */
     void leave(Runnable whenLeft) {
-        loop.execute(() -> ticker.after(LISTEN_ON, () -> {
-            server.stop();
-            front.leave(whenLeft);
-        }));
+        loop.execute(() -> {
+            if (answerBy < Double.POSITIVE_INFINITY) {
+                core.leave(ticker.now() + answerBy);
+            }
+            ticker.after(serveOn, () -> {
+                server.stop();
+                front.leave(whenLeft);
+            });
+        });
+    }
+
+    /** How long leaving takes until nothing new is taken. */
+    double serveOn() {
+        return serveOn;
     }
 
     static String text(InetSocketAddress address) {
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -20,7 +20,7 @@
 /** {@code serve}: the scheduler. Listens once it is warm and leaves on SIGTERM. */
 public final class Serve implements Main.Command {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    private static final long TICK = 2;
+    static final long TICK = 2;
     // Nothing waits longer than the longest deadline; the rest is for answers on their way to slow readers.
     private static final double LEAVE_SLACK = 500;
 
@@ -75,7 +75,7 @@
             scheduler.leave(left::countDown);
             boolean all = false;
             try {
-                all = left.await((long) (Scheduler.LISTEN_ON + longest + LEAVE_SLACK), TimeUnit.MILLISECONDS);
+                all = left.await((long) (scheduler.serveOn() + longest + LEAVE_SLACK), TimeUnit.MILLISECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -43,6 +43,11 @@
         drainEvents();
     }
 
+    /** Sees to it that all that is open, or still comes, has its final answer by then. */
+    public void leave(double by) {
+        tell(new Leaving(by));
+    }
+
     /** From now on the list comes from another directory, which is asked at once; all that is open goes on. */
     public void follow(Directory next) {
         directory.stop();
@@ -101,6 +106,9 @@
                 retired.add(m.entry().node());
             }
             entries.add(m.entry());
+            if (m.entry().phase() == Phase.GONE) {
+                members.remove(m.entry().node());
+            }
         }
         tell(new NodeList(entries, whole, persisted));
         retired.forEach(backend::retire);
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -456,4 +456,30 @@
         assertTrue(units > 0, "a cold node is used");
         assertTrue(units < 2 * 0.25 * 80, "the rule bears 40 units in this second, sent " + units);
     }
+
+    /** Before a planned end nothing may stay open: what came before and what comes after the news alike. */
+    @Test void allThatIsOpenIsAnsweredBeforeTheInstanceEnds() {
+        Rig rig = Rig.ready();
+        rig.ask("before", "write", "free", "v", 1, 0);
+        rig.tell(new Leaving(rig.now + 500));
+        rig.now += 100;
+        rig.ask("after", "read", "free", "v", 1, 0);
+        rig.pass(rig.now + 399);
+        assertEquals(List.of(), rig.answered());
+        rig.pass(rig.now + 5);
+        assertEquals(java.util.Set.of("failed before", "refused after"), java.util.Set.copyOf(rig.answered()));
+    }
+
+    /** On days on which nodes come under ever new ids, what is known of those that have gone must not pile up. */
+    @Test void aNodeThatHasGoneIsForgottenWithItsLastAttempt() {
+        Rig rig = Rig.ready();
+        rig.ask("r", "read", "free", "v", 1, 0);
+        rig.tell(new NodeList(List.of(Rig.node("n0", 0, Phase.GONE, 0), Rig.node("n1", 1, Phase.GONE, 0)), false, false));
+        assertEquals(1, rig.control.nodesKnown(), "an attempt is out at n0");
+        rig.end("r", Outcome.SERVED, 20);
+        assertEquals(0, rig.control.nodesKnown());
+        rig.list(Rig.node("n2", 0, Phase.HEALTHY, 0));
+        rig.list(Rig.node("n3", 0, Phase.HEALTHY, 0));
+        assertEquals(1, rig.control.nodesKnown(), "a whole list leaves out what has gone");
+    }
 }
