--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -54,7 +54,7 @@
                           double slowestBytesPerMilli, double stall, int parts) { }
 
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
-    private static final double SPARED = 250;
+    private static final double SPARED = 50;
     private static final int LARGEST_LINE = 8 * 1024;
     private static final int LARGEST_HEAD = 16 * 1024;
     private static final int LARGEST_PIECE = 16 * 1024;
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -37,7 +37,7 @@
     private static final double IDLE = 10_000;
     private static final double SWEEP = 100;
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
-    private static final double SPARED = 250;
+    private static final double SPARED = 50;
     // After so many commands that are none, each further one stops the reading of its connection for a time.
     private static final int FORGIVEN = 3;
     private static final double PENANCE = 50;
