--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -25,7 +25,7 @@
  * the first clients waiting while classes are loaded and code is compiled.
  */
 public final class RespWarmup {
-    private static final int REQUESTS = 800;
+    private static final int REQUESTS = 200;
     private static final long LONGEST_NANOS = 2_000_000_000L;
     private static final int NODES = 4;
     private static final String ANSWER = "*3\r\n$5\r\nvalue\r\n$6\r\ncost=2\r\n$10\r\ninflight=3\r\n";
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -17,6 +17,7 @@
     private double beganAt = -1;
     private double heardAt;
     private double owedSince;
+    private double stoodStill;
 
     Attempt(Core core, Request request, int number, Member member, double sentAt, double giveUpAt) {
         this.core = core;
@@ -24,6 +25,7 @@
         this.number = number;
         this.member = member;
         this.owedSince = sentAt;
+        this.stoodStill = core.stoodStill();
         this.giveUpAt = giveUpAt;
     }
 
@@ -55,7 +57,7 @@
     /** The answer has begun to be passed on to the client: from here on no deadline runs. */
     public void began() {
         if (out && beganAt < 0) {
-            beganAt = core.now();
+            beganAt = answeredAt();
             core.began(this);
         }
     }
@@ -72,6 +74,7 @@
     /** The last byte of the request's body has been written: only from here on does the node owe an answer. */
     public void sentWhole() {
         owedSince = core.now();
+        stoodStill = core.stoodStill();
     }
 
     /** Ends the attempt; later calls are ignored, since an abandoned connection may still report its end. */
@@ -93,9 +96,14 @@
 
     /**
      * Time to the answer, or to its beginning where it was streamed, from when all had been sent. Guards against
-     * taking a client that sends or reads slowly for a slow node.
+     * taking a client that sends or reads slowly, or this scheduler itself, for a slow node.
      */
     double took() {
-        return (beganAt < 0 ? core.now() : beganAt) - owedSince;
+        return (beganAt < 0 ? answeredAt() : beganAt) - owedSince;
+    }
+
+    /** Now, less the time since the sending in which this scheduler stood still. */
+    private double answeredAt() {
+        return Math.max(owedSince, core.now() - (core.stoodStill() - stoodStill));
     }
 }
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -17,6 +17,10 @@
 public final class Core {
     private static final Logger LOG = Logger.getLogger(Core.class.getName());
 
+    // The loop shows every so often that it runs; to be later by more than this is a standstill.
+    private static final double BEAT = 10;
+    private static final double PUNCTUAL = 5;
+
     private final Control control;
     private final Ticker ticker;
     private final Backend backend;
@@ -27,6 +31,8 @@
     private Directory directory = () -> { };
     private boolean busy;
     private long ids;
+    /** When the next beat is due, and for how long in all the loop has stood still so far. */
+    private double beatAt, stoodStill;
 
     public Core(Control control, Ticker ticker, Backend backend) {
         this.control = control;
@@ -37,6 +43,7 @@
     /** Starts the module; its list comes from this directory from now on. */
     public void start(Directory from) {
         directory = from;
+        beat();
         busy = true;
         carryOut(control.start());
         busy = false;
@@ -59,6 +66,20 @@
         return ticker.now();
     }
 
+    private void beat() {
+        stoodStill = stoodStill();
+        beatAt = now() + BEAT;
+        ticker.after(BEAT, this::beat);
+    }
+
+    /**
+     * For how long in all this loop has had no processor, or no time for what came in. Guards against taking the
+     * scheduler's own standstills, at its start or when its part of the core is used up, for slow nodes.
+     */
+    double stoodStill() {
+        return stoodStill + Math.max(0, now() - beatAt - PUNCTUAL);
+    }
+
     // ---------------------------------------------------------------- fronts
 
     /**
