Ask a new discovery that says nothing again within its 4 seconds; pass over 1xx there

DiscoveryWatch.call now gives a call that does not wait 1.5 s, and HttpCall passes over interim answers.

--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -20,7 +20,8 @@
 public final class DiscoveryWatch implements Directory, HttpCall.Reply {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
     private static final int WAIT = 20_000;
-    // What a call may take beyond its wait; a longer silence counts as told all the same, 2 s after the wait.
+    // What a call may take beyond its wait; a longer silence counts as told all the same, 2 s after the wait. After a
+    // new configuration its news counts as told after 4 s: a call that is lost must be made again before that.
     private static final int PATIENCE = 1_500;
 
     private final HttpCall calls;
@@ -55,7 +56,7 @@
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
-        calls.send(request, WAIT + PATIENCE, this);
+        calls.send(request, version < 0 ? PATIENCE : WAIT + PATIENCE, this);   // the whole list comes at once
     }
 
     @Override public void answered(int status, String body) {
--- a/src/main/java/kelphollow/transport/HttpCall.java
+++ b/src/main/java/kelphollow/transport/HttpCall.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -107,7 +108,7 @@
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             if (response.decoderResult().isFailure()) {
                 end(null, "not HTTP");
-            } else {
+            } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {   // 1xx: the answer follows
                 end(response, null);
             }
         }
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -65,13 +65,21 @@
     /** The gateway of the object API over these object servers. */
     static Bench objects(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
         Bench bench = new Bench();
+        bench.start(Scheduler.of(objectConfig(changes, servers), bench.loop, bench.ticker));
+        return bench;
+    }
+
+    private static ObjectConfig objectConfig(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
         Map<String, Object> config = example();
         Map<String, Object> xds = new HashMap<>(part(config, "xds"));
         xds.put("endpoints", List.of(Json.parse(assignment("HEALTHY", servers))));
         config.put("xds", xds);
         config.putAll(changes);
-        bench.start(Scheduler.of(ObjectConfig.read(config), bench.loop, bench.ticker));
-        return bench;
+        return ObjectConfig.read(config);
+    }
+
+    void reload(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
+        scheduler.reload(objectConfig(changes, servers));
     }
 
     /** A ClusterLoadAssignment in which each server holds the shard of its place. */
--- a/src/test/java/kelphollow/program/ReloadTest.java
+++ b/src/test/java/kelphollow/program/ReloadTest.java
@@ -3,9 +3,16 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +53,42 @@
         }
     }
 
+    @Test void aNewDiscoveryThatSaysNothingIsAskedAgainSoon() throws Exception {
+        try (Discovery old = new Discovery(); Discovery next = new Discovery(); Bench bench = Bench.resp(old.address())) {
+            bench.reload(next.address());
+            assertEquals("/catalog/members", next.asked.poll(10, TimeUnit.SECONDS));
+            bench.ticker.advance(3_200);   // its news counts as told after 4 s
+            assertEquals("/catalog/members", next.asked.poll(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test void interimAnswersOfDiscoveryArePassedOver() throws Exception {
+        try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+             Bench bench = Bench.resp(new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort()));
+             Socket watch = discovery.accept()) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.US_ASCII));
+            while (!in.readLine().isEmpty()) { }
+            String list = "{\"seq\":7,\"whole\":true,\"hosts\":[]}";
+            watch.getOutputStream().write(("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+                + list.length() + "\r\n\r\n" + list).getBytes(StandardCharsets.US_ASCII));
+            assertEquals("GET /catalog/members?index=7&wait=20000 HTTP/1.1", in.readLine());
+        }
+    }
+
+    @Test void theObjectApiFollowsANewFile() throws Exception {
+        Map<String, Object> objects = new HashMap<>(Bench.part(Bench.example(), "objects"));
+        objects.put("shards", 1.0);
+        try (StandInServer old = new StandInServer(); StandInServer next = new StandInServer();
+             Bench bench = Bench.objects(Map.of("objects", objects), old.address());
+             StandInClient client = new StandInClient(bench.address)) {
+            old.objects.put("/symbols/a", new StandInServer.Stored("old".getBytes(), "\"e\""));
+            next.objects.put("/symbols/a", new StandInServer.Stored("next".getBytes(), "\"e\""));
+            assertEquals("old", client.call("GET /symbols/a", "", null).text());
+            bench.reload(Map.of("objects", objects), next.address());
+            assertEquals("next", client.call("GET /symbols/a", "", null).text());
+        }
+    }
+
     @Test void theNewDiscoveryIsAskedForTheWholeListAndTheOldOneNoMore() throws Exception {
         try (Discovery old = new Discovery(); Discovery next = new Discovery()) {
             try (Bench bench = Bench.resp(old.address())) {
