--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -43,6 +43,7 @@
     /** Starts the module; its list comes from this directory from now on. */
     public void start(Directory from) {
         directory = from;
+        beatAt = now();
         beat();
         busy = true;
         carryOut(control.start());
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -58,8 +58,9 @@
         return bench;
     }
 
-    void reload(InetSocketAddress discovery) {
+    void reload(InetSocketAddress discovery) throws InterruptedException {
         scheduler.reload(new Config("test", null, discovery, 1, SOCKETS, 250, 12_000, config.known(), config.settings()));
+        loop.submit(() -> { }).sync();
     }
 
     /** The gateway of the object API over these object servers. */
@@ -80,6 +81,7 @@
 
     void reload(Map<String, Object> changes, InetSocketAddress... servers) throws Exception {
         scheduler.reload(objectConfig(changes, servers));
+        loop.submit(() -> { }).sync();
     }
 
     /** A ClusterLoadAssignment in which each server holds the shard of its place. */
--- a/src/test/java/kelphollow/program/ReloadTest.java
+++ b/src/test/java/kelphollow/program/ReloadTest.java
@@ -14,6 +14,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -26,6 +28,7 @@
     private static final class Discovery implements AutoCloseable {
         final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        private final ExecutorService threads = Executors.newCachedThreadPool();
         private final HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
 
         Discovery() throws IOException {
@@ -40,6 +43,7 @@
                 }
                 exchange.close();
             });
+            server.setExecutor(threads);
             server.start();
         }
 
@@ -48,7 +52,7 @@
         }
 
         @Override public void close() {
-            answers.add("{}");
+            threads.shutdownNow();
             server.stop(0);
         }
     }
