Give codecs only to clients that say something, and serve until 3 s after SIGTERM

Seen on the incident: up to 800 connections a second that say nothing, each given five handlers; and clients whose scheduler leaves have no other for 3.4 s. Ruled out: limits (0 to 75 of 400), late repeats alone.

--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -27,9 +27,9 @@
     private static final double LONGEST_COUNTED = 3_000;
     private static final double KILLED_AFTER = 700;
     // So long before that all has been answered, with time for what is slow on its way.
-    private static final double LAST_ANSWERS = 300;
-    // And so long before that nothing new is taken any more: enough for most requests to be served.
-    private static final double LAST_REQUESTS = 1_300;
+    private static final double LAST_ANSWERS = 350;
+    // And so long before it connections that are owed nothing close: enough for most requests to be served.
+    private static final double LAST_REQUESTS = 700;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -64,7 +64,6 @@
     }
 
     @Override public void accept(Channel channel) {
-        channel.pipeline().addLast(Resp.codec());
         channel.pipeline().addLast(new Client(channel));
     }
 
@@ -110,7 +109,7 @@
     private final class Client extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private boolean closing, asked, partly, reading, unflushed, doingPenance;
+        private boolean spoken, closing, asked, partly, reading, unflushed, doingPenance;
         private double heardAt = ticker.now(), askedAt = heardAt;
         private ChannelFuture lastAnswer;
         private int refused;
@@ -138,6 +137,13 @@
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (!spoken) {
+                // Only who says something gets a codec: guards the processor against crowds of silent connections.
+                spoken = true;
+                channel.pipeline().addFirst(Resp.codec());
+                channel.pipeline().fireChannelRead(message);
+                return;
+            }
             reading = true;
             try {
                 if (!closing) {
