Forget made-up shards and resting volumes; serve until 2.4 s after SIGTERM again

The platform counts a scheduler as stopped from 2.7 s on. Idle clients that have asked are closed early only when clients that asked fill half of the places, not when silent ones do: those make room by themselves.

By reading: a shard or a volume that a client makes up stayed in the module for good. Empty shards now go at once, and from 1,000 volumes on those that rested for a minute.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -56,6 +56,10 @@
     static final double LIST_RETRY = 1_000;
     static final double LIST_RETRY_MAX = 8_000;
 
+    // From so many volumes on, those that have rested for so long are forgotten.
+    static final int MANY_VOLUMES = 1_000;
+    static final double VOLUME_MEMORY = 60_000;
+
     private final Settings settings;
     private final Rules rules;
     private final Random random;
@@ -163,9 +167,11 @@
         return flush();
     }
 
-    /** How many nodes it keeps anything of. */
+    /** How many nodes and volumes it keeps anything of. */
     int nodesKnown() { return nodes.size(); }
 
+    int volumesKnown() { return volumes.size(); }
+
     private void heard(String id, int number) {
         Attempt a = attempts.get(id + '#' + number);
         if (a != null) a.heardAt = now;
@@ -179,11 +185,8 @@
 
     private void planWake() {
         double next = askAt;
-        boolean holding = false;
-        for (Held h : held.values()) {
-            holding |= h.size() > 0;
-        }
-        if (holding) next = Math.min(next, now + SWEEP);
+        held.values().removeIf(h -> h.size() == 0);   // shards that clients make up would pile up
+        if (!held.isEmpty()) next = Math.min(next, now + SWEEP);
         if (!dues.isEmpty()) next = Math.min(next, dues.peek().at);
         if (next < wakeAt) {
             wakeAt = Math.max(next, now + settings.tick());
@@ -269,6 +272,10 @@
         double spent = Math.max(0, kind.deadline() - (a.deadline() - now));
         r.aimAt = Math.min(now + kind.aim() - spent, r.answerAt);
         String name = a.volume() == null ? "" : a.volume();
+        if (volumes.size() >= MANY_VOLUMES && !volumes.containsKey(name)) {
+            // Guards memory against names that clients make up; a store that rested so long is full again.
+            volumes.values().removeIf(v -> v.busy.isEmpty() && now - v.lastArrival > VOLUME_MEMORY);
+        }
         r.volume = volumes.computeIfAbsent(name, n -> new Volume(plan, Math.max(1, a.hosts())));
         open.put(a.id(), r);
         if (r.volume.gate.hopeless(a.units(), r.aimAt)) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -29,7 +29,7 @@
     // So long before that all has been answered, with time for what is slow on its way.
     private static final double LAST_ANSWERS = 350;
     // And so long before it connections that are owed nothing close: enough for most requests to be served.
-    private static final double LAST_REQUESTS = 700;
+    private static final double LAST_REQUESTS = 1_300;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -64,13 +64,14 @@
     }
 
     @Override public void accept(Channel channel) {
+        channel.pipeline().addLast(Resp.codec());
         channel.pipeline().addLast(new Client(channel));
     }
 
     /** Guards descriptors and memory against clients that connect and say nothing, half a command, or nothing more. */
     private void sweepLater() {
         ticker.after(SWEEP, () -> {
-            boolean crowded = clients.size() > mostClients / 2;
+            boolean crowded = clients.stream().filter(c -> c.asked).count() > mostClients / 2;
             List.copyOf(clients).stream().filter(c -> c.isIdle() && c.hasBeenKeptEnough(crowded)).forEach(c -> c.channel.close());
             sweepLater();
         });
@@ -109,7 +110,7 @@
     private final class Client extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private boolean spoken, closing, asked, partly, reading, unflushed, doingPenance;
+        private boolean closing, asked, partly, reading, unflushed, doingPenance;
         private double heardAt = ticker.now(), askedAt = heardAt;
         private ChannelFuture lastAnswer;
         private int refused;
@@ -137,13 +138,6 @@
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (!spoken) {
-                // Only who says something gets a codec: guards the processor against crowds of silent connections.
-                spoken = true;
-                channel.pipeline().addFirst(Resp.codec());
-                channel.pipeline().fireChannelRead(message);
-                return;
-            }
             reading = true;
             try {
                 if (!closing) {
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -482,4 +482,16 @@
         rig.list(Rig.node("n3", 0, Phase.HEALTHY, 0));
         assertEquals(1, rig.control.nodesKnown(), "a whole list leaves out what has gone");
     }
+
+    @Test void volumesThatRestAreForgottenOnceThereAreMany() {
+        Rig rig = Rig.ready();
+        for (int i = 0; i < Control.MANY_VOLUMES; i++) {
+            rig.tell(new Arrival("made up " + i, "read", "free", "k", rig.now + 1, "made up " + i, 1, 99, 1));
+        }
+        rig.pass(rig.now + 10);
+        assertEquals(Control.MANY_VOLUMES, rig.control.volumesKnown());
+        rig.now += Control.VOLUME_MEMORY + 100;
+        rig.ask("r", "read", "free", "v", 1, 0);
+        assertEquals(1, rig.control.volumesKnown());
+    }
 }
