--- /dev/null
+++ b/src/main/java/kelphollow/protocol/object/ObjectClient.java
@@ -0,0 +1,147 @@
+package kelphollow.protocol.object;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.ReferenceCountUtil;
+
+/** One client's connection. It reads only when something is wanted, so that no body piles up. */
+final class ObjectClient extends ChannelInboundHandlerAdapter {
+    private final ObjectFront front;
+    final Channel channel;
+    private ObjectExchange current;
+    private HttpRequest next;
+    private boolean closing, wanting;
+    private long messages;
+    private double idleSince;
+
+    ObjectClient(ObjectFront front, Channel channel) {
+        this.front = front;
+        this.channel = channel;
+        idleSince = front.ticker.now();
+        front.clients.add(this);
+        watchIdle();
+    }
+
+    /** Guards descriptors against clients that connect and then ask for nothing, or send half a head. */
+    private void watchIdle() {
+        long before = messages;
+        front.ticker.after(front.options.stall(), () -> {
+            if (current == null && messages == before) {
+                channel.close();
+            } else if (channel.isOpen()) {
+                watchIdle();
+            }
+        });
+    }
+
+    @Override public void channelActive(ChannelHandlerContext ctx) {
+        wanting = true;
+        channel.read();
+    }
+
+    /** Guards against a head that comes in several segments: a read that made no message must go on. */
+    @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (wanting) {
+            channel.read();
+        }
+    }
+
+    @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+        wanting = false;
+        messages++;
+        if (message instanceof HttpRequest request) {
+            if (current != null) {
+                next = request;      // sent ahead; it waits its turn
+            } else {
+                begin(request);
+            }
+        } else if (message instanceof HttpContent content && current != null && !current.isBodyRead()) {
+            current.piece(content);
+        } else {
+            ReferenceCountUtil.release(message);
+            readLater();
+        }
+    }
+
+    /**
+     * Asks for one more message, after the one at hand. Guards against a read that is asked for while a message
+     * is being handed over: the flow control then loses it, and a part sent again stood still for good.
+     */
+    void readLater() {
+        wanting = true;
+        channel.eventLoop().execute(channel::read);
+    }
+
+    private void begin(HttpRequest request) {
+        current = new ObjectExchange(front, this, request);
+        if (request.decoderResult().isFailure()) {
+            current.unreadable();
+        } else {
+            current.begin();
+        }
+    }
+
+    /** The exchange has been answered; what is left of its body is read away, or the connection closes. */
+    void done(ChannelFuture written, boolean keep) {
+        boolean whole = current.isBodyRead();
+        current = null;
+        idleSince = front.ticker.now();
+        if (!keep || !whole || front.leaving != null) {
+            closing = true;
+            if (whole) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            } else {
+                // Closing with input unread resets the connection, and the answer may be lost with it: the
+                // client gets some time to see it and to close by itself.
+                readLater();
+                front.ticker.after(front.options.stall() / 4, channel::close);
+            }
+            return;
+        }
+        HttpRequest following = next;
+        next = null;
+        if (following != null) {
+            begin(following);
+        } else {
+            readLater();
+        }
+    }
+
+    boolean isIdle() {
+        return current == null;
+    }
+
+    double idleSince() {
+        return idleSince;
+    }
+
+    void leaveIfIdle() {
+        if (current == null) {
+            channel.close();
+        }
+    }
+
+    @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (current != null && channel.isWritable()) {
+            current.writable();
+        }
+    }
+
+    @Override public void channelInactive(ChannelHandlerContext ctx) {
+        front.clients.remove(this);
+        if (current != null) {
+            current.gone();
+            current = null;
+        }
+        front.checkLeft();
+    }
+
+    @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/object/PartSending.java
@@ -0,0 +1,227 @@
+package kelphollow.protocol.object;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.security.MessageDigest;
+import javax.xml.stream.XMLStreamException;
+import kelphollow.routing.Caller;
+import kelphollow.routing.Request;
+
+/**
+ * A client's sending of one part. It is passed on only if the part cannot have been written yet; otherwise its
+ * content is read and compared with what was written, and the client gets the recorded answer or a conflict.
+ */
+final class PartSending implements Parts.Waiter {
+    private final ObjectFront front;
+    private final ObjectExchange exchange;
+    private final MessageDigest digest = Parts.digest();
+    private Parts.Part part;
+    private boolean sender, asking;
+    private Parts.State before;
+    private long size;
+    private Request asked;
+    private Parts.End end;
+    private Parts.Print print;
+
+    PartSending(ObjectFront front, ObjectExchange exchange) {
+        this.front = front;
+        this.exchange = exchange;
+    }
+
+    void begin() {
+        part = front.parts.find(exchange.call(), front.ticker.now());
+        if (part == null) {
+            exchange.answer(S3Error.refused(1));
+            return;
+        }
+        switch (part.state) {
+            case BUSY -> compareWith(null);
+            case STORED -> compareWith(new Parts.End(part.print, part.etag, null));
+            case UNKNOWN -> ask();
+            case ASK -> {
+                if (front.parts.isNew(exchange.call())) {
+                    passOn();
+                } else {
+                    ask();
+                }
+            }
+        }
+    }
+
+    private void passOn() {
+        part.state = Parts.State.BUSY;
+        sender = true;
+        exchange.send(null);
+    }
+
+    /** Reads the body away; it is answered once it is whole and the end of the first sending is known. */
+    private void compareWith(Parts.End known) {
+        end = known;
+        if (end == null) {
+            part.join(this);
+        }
+        exchange.read();
+    }
+
+    void piece(ByteBuf bytes, boolean last) {
+        digest.update(bytes.nioBuffer());
+        size += bytes.readableBytes();
+        if (last) {
+            print = new Parts.Print(size, Parts.hex(digest));
+        }
+        if (sender) {
+            exchange.transfer().piece(bytes, last);
+        } else {
+            bytes.release();
+            if (last) {
+                compare();
+            } else {
+                exchange.read();
+            }
+        }
+    }
+
+    @Override public void ended(Parts.End known) {
+        end = known;
+        compare();
+    }
+
+    private void compare() {
+        if (end == null || print == null || exchange.isOver()) {
+            return;
+        }
+        if (end.error() != null) {
+            exchange.answer(end.error());
+        } else if (end.print().equals(print)) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                Unpooled.EMPTY_BUFFER);
+            response.headers().set(HttpHeaderNames.ETAG, end.etag()).set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            exchange.write(response);
+        } else {
+            exchange.answer(new S3Error(409, "OperationAborted",
+                "This part has been sent with other content, which is stored or may be."));
+        }
+    }
+
+    // ------------------------------------------------------------ the node is asked what it has
+
+    private void ask() {
+        // What is not remembered may have been sent by the life before, whose attempts ended when this one began.
+        double unknownSince = part.state == Parts.State.UNKNOWN ? part.unknownSince : front.startedAt;
+        boolean mayBeYet = front.ticker.now() - unknownSince < front.options.write().deadline();
+        before = part.state;
+        part.state = Parts.State.BUSY;
+        asking = true;
+        ObjectCall list = exchange.call().listThisPart();
+        try {
+            Request taken = front.core.take(front.facts(list), new Transfer(list, null, exchange), new Caller() {
+                @Override public void served(Object answer) {
+                    asking = false;
+                    listed((Transfer.Answer) answer, unknownSince, mayBeYet);
+                }
+
+                @Override public void refused(double after, boolean timedOut) {
+                    asking = false;
+                    release(timedOut ? S3Error.failed(true) : S3Error.refused(after));
+                }
+
+                @Override public void failed(boolean timedOut) {
+                    asking = false;
+                    release(S3Error.failed(timedOut));
+                }
+            });
+            asked = asking ? taken : null;
+        } catch (S3Error e) {
+            release(e);
+        }
+    }
+
+    private void listed(Transfer.Answer answer, double unknownSince, boolean mayBeYet) {
+        if (answer.status() != 200) {
+            release(null);
+            exchange.answer(answer);
+            return;
+        }
+        S3Xml.Part stored;
+        try {
+            stored = S3Xml.parts(answer.body()).get(exchange.call().partNumber());
+        } catch (XMLStreamException e) {
+            release(S3Error.failed(false));
+            return;
+        }
+        if (stored != null) {
+            Parts.Print content = new Parts.Print(stored.size(), stored.etag().replace("\"", ""));
+            part.stored(content, stored.etag());
+            compareWith(new Parts.End(content, stored.etag(), null));
+        } else if (mayBeYet) {
+            // The attempt whose end is unknown may still be at work; sending another now could store it twice.
+            release(S3Error.refused(unknownSince + front.options.write().deadline() - front.ticker.now()));
+        } else {
+            passOn();
+        }
+    }
+
+    /** The question had no answer: all is as before it. */
+    private void release(S3Error error) {
+        S3Error told = error == null ? S3Error.refused(1) : error;
+        if (before == Parts.State.UNKNOWN) {
+            part.unknown(part.unknownSince, told);
+        } else {
+            part.forget(told);
+        }
+        if (error != null) {
+            exchange.answer(error);
+        }
+    }
+
+    // ------------------------------------------------------------ this sending ends
+
+    void served(Transfer.Answer answer) {
+        sender = false;
+        String etag = answer.headers().get(HttpHeaderNames.ETAG);
+        if (answer.status() == 200 && etag != null && print != null) {
+            part.stored(print, etag);
+        } else if (answer.status() / 100 == 4) {
+            part.forget(S3Error.refused(1));
+        } else {
+            part.unknown(front.ticker.now(), S3Error.failed(false));
+        }
+        exchange.answer(answer);
+    }
+
+    void failed(S3Error error) {
+        sender = false;
+        if (exchange.transfer().isBodyWhole()) {
+            part.unknown(front.ticker.now(), error);
+        } else {
+            part.forget(error);
+        }
+        exchange.answer(error);
+    }
+
+    void withdrawn() {
+        if (sender) {
+            failedSilently();
+        } else if (asking) {
+            asking = false;
+            front.core.gone(asked);
+            release(null);
+        } else if (part != null) {
+            part.leave(this);
+        }
+    }
+
+    private void failedSilently() {
+        sender = false;
+        if (exchange.transfer() != null && exchange.transfer().isBodyWhole()) {
+            part.unknown(front.ticker.now(), S3Error.failed(false));
+        } else {
+            part.forget(S3Error.refused(1));
+        }
+    }
+}
