--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -75,6 +75,8 @@
     private final Map<Integer, Held> held = new LinkedHashMap<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
         Comparator.comparingDouble(Due::at).thenComparingLong(d -> d.request.order));
+    /** Levels of limits that an earlier life left, until their volume is seen. */
+    private final Map<String, Double> limitsLeft = new HashMap<>();
     private final ArrayDeque<Double> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> extras = new ArrayDeque<>();
     private final Tags tags = new Tags();
@@ -139,6 +141,8 @@
                 r.answerAt = Math.min(r.answerAt, leaveBy);
                 dues.add(new Due(r.answerAt, r));
             }
+        } else if (event instanceof LimitsLeft l) {
+            limitsLeft.putAll(l.levels());
         } else if (event instanceof ListMoved) {
             askAt = this.now;              // its news counts as told soon, whether it was asked for or not
             listRetry = LIST_RETRY;
@@ -167,6 +171,15 @@
         return flush();
     }
 
+    /** The units left in this host's part of each limited volume's store. */
+    public Map<String, Double> limitLevels() {
+        Map<String, Double> levels = new TreeMap<>();
+        volumes.forEach((name, v) -> {
+            if (v.plan.limitRate() > 0) levels.put(name, v.gate.fill());
+        });
+        return levels;
+    }
+
     /** How many nodes and volumes it keeps anything of. */
     int nodesKnown() { return nodes.size(); }
 
@@ -277,6 +290,7 @@
             volumes.values().removeIf(v -> v.busy.isEmpty() && now - v.lastArrival > VOLUME_MEMORY);
         }
         r.volume = volumes.computeIfAbsent(name, n -> new Volume(plan, Math.max(1, a.hosts())));
+        if (!limitsLeft.isEmpty()) r.volume.gate.left(limitsLeft.remove(name));
         open.put(a.id(), r);
         if (r.volume.gate.hopeless(a.units(), r.aimAt)) {
             answer(r);                     // beyond the limit by more than it can wait: it earns nothing
@@ -477,9 +491,15 @@
             burst = plan.limitBurst() / hosts;
         }
 
-        private void fill() {
+        /** The store was never empty: its level goes on from what an earlier life left. */
+        void left(Double units) {
+            if (units != null) level = Math.min(burst, level + units);
+        }
+
+        private double fill() {
             level = Math.min(burst, level + (now - at) * rate);
             at = now;
+            return level;
         }
 
         boolean allows(double units) {
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -66,6 +66,9 @@
     /** The list comes from another service from now on. */
     public record ListMoved() implements Event { }
 
+    /** What a life before has left of volumes' limits: units that this host's part of each store starts with. */
+    public record LimitsLeft(Map<String, Double> levels) implements Event { }
+
     /** A request has come. {@code cell} is where its data lies, negative for a new object; {@code key} may
      *  be null. */
     public record Arrival(String id, String requestClass, String plan, String key, double deadline,
--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -107,6 +107,15 @@
         }
     }
 
+    /** A key that nobody reads is most likely one misspelt. */
+    static void known(Map<?, ?> map, String path, String... keys) throws Bad {
+        for (Object key : map.keySet()) {
+            if (!java.util.List.of(keys).contains(key)) {
+                throw new Bad(path + key + " is not known");
+            }
+        }
+    }
+
     static Map<?, ?> object(Map<?, ?> map, String key) throws Bad {
         return object(map, "", key);
     }
--- a/src/main/java/kelphollow/program/ObjectConfig.java
+++ b/src/main/java/kelphollow/program/ObjectConfig.java
@@ -12,7 +12,7 @@
 
 /** An operator's file for the object front, checked and with its defaults. Times are milliseconds. */
 record ObjectConfig(String name, InetSocketAddress listen, long seed, int sockets, int dialTimeout, double idleTime,
-                    double stall, Settings settings, ObjectFront.Options options, Xds xds) {
+                    double stall, Settings settings, ObjectFront.Options options, Xds xds, StoreConfig store) {
     /** Where the cluster comes from: {@code inline} from the file, or by REST from {@code server}. */
     record Xds(String cluster, List<Member> inline, InetSocketAddress server, double refresh) { }
 
@@ -31,16 +31,16 @@
     }
 
     static ObjectConfig read(Map<?, ?> json) throws Config.Bad {
-        known(json, "", "name", "listen", "seed", "sockets", "dial_timeout_ms", "idle_ms", "stall_ms", "settings",
-            "objects", "buckets", "xds");
+        Config.known(json, "", "name", "listen", "seed", "sockets", "dial_timeout_ms", "idle_ms", "stall_ms", "settings",
+            "objects", "buckets", "xds", "store");
         Settings settings = Config.settings(Config.object(json, "settings"));
         double stall = Config.number(json, "", "stall_ms", STALL, 1);
         Map<?, ?> objects = Config.object(json, "objects");
-        known(objects, "objects.", "shards", "classes", "bytes_per_unit", "most_units", "large_units", "largest_body",
+        Config.known(objects, "objects.", "shards", "classes", "bytes_per_unit", "most_units", "large_units", "largest_body",
             "slowest_bytes_per_second", "remembered_parts");
         int shards = (int) Config.number(objects, "objects.", "shards", Double.NaN, 1);
         Map<?, ?> classes = Config.object(objects, "objects.", "classes");
-        known(classes, "objects.classes.", "read", "write", "large");
+        Config.known(classes, "objects.classes.", "read", "write", "large");
         double mostUnits = Config.number(objects, "objects.", "most_units", 6, 1);
         ObjectFront.Kind read = kind(classes, "read", settings, true);
         ObjectFront.Options options = new ObjectFront.Options(buckets(json, settings), read,
@@ -56,7 +56,8 @@
             Config.address(Config.word(json, "listen", null), "listen"),
             Config.seed(Config.word(json, "seed", "0")), (int) Config.number(json, "", "sockets", SOCKETS, 16),
             (int) Config.number(json, "", "dial_timeout_ms", DIAL_TIMEOUT, 1),
-            Config.number(json, "", "idle_ms", IDLE_TIME, 1), stall, settings, options, xds(json, shards));
+            Config.number(json, "", "idle_ms", IDLE_TIME, 1), stall, settings, options, xds(json, shards),
+            StoreConfig.read(json));
     }
 
     private static Map<String, ObjectFront.Bucket> buckets(Map<?, ?> json, Settings settings) throws Config.Bad {
@@ -65,7 +66,7 @@
         for (Object name : told.keySet()) {
             String path = "buckets." + name + ".";
             Map<?, ?> bucket = Config.object(told, "buckets.", String.valueOf(name));
-            known(bucket, path, "plan", "gateways");
+            Config.known(bucket, path, "plan", "gateways");
             if (!(bucket.get("plan") instanceof String plan)
                 || settings.plans().stream().noneMatch(p -> p.name().equals(plan))) {
                 throw new Config.Bad(path + "plan is '" + bucket.get("plan") + "', which settings.grades does not name");
@@ -97,7 +98,7 @@
 
     private static Xds xds(Map<?, ?> json, int shards) throws Config.Bad {
         Map<?, ?> xds = Config.object(json, "xds");
-        known(xds, "xds.", "cluster", "clusters", "endpoints", "server", "refresh_ms");
+        Config.known(xds, "xds.", "cluster", "clusters", "endpoints", "server", "refresh_ms");
         if (!(xds.get("cluster") instanceof String cluster)) {
             throw new Config.Bad("xds.cluster is missing or not a text");
         }
@@ -118,13 +119,4 @@
             throw new Config.Bad("xds." + e.getMessage());
         }
     }
-
-    /** A key that nobody reads is most likely one misspelt. */
-    private static void known(Map<?, ?> map, String path, String... keys) throws Config.Bad {
-        for (Object key : map.keySet()) {
-            if (!List.of(keys).contains(key)) {
-                throw new Config.Bad(path + key + " is not known");
-            }
-        }
-    }
 }
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -1,19 +1,28 @@
 package kelphollow.program;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.RequestClass;
+import kelphollow.ledger.Ledger;
+import kelphollow.ledger.NodeRecords;
 import kelphollow.protocol.discovery.DiscoveryWatch;
 import kelphollow.protocol.object.ObjectBackend;
 import kelphollow.protocol.object.ObjectFront;
 import kelphollow.protocol.resp.RespBackend;
 import kelphollow.protocol.resp.RespFront;
 import kelphollow.protocol.xds.XdsPoll;
+import kelphollow.recovery.LimitStart;
 import kelphollow.routing.Core;
 import kelphollow.routing.Directory;
+import kelphollow.routing.Member;
 import kelphollow.routing.Ticker;
+import kelphollow.store.StoreFault;
 import kelphollow.transport.Front;
 import kelphollow.transport.HttpCall;
 import kelphollow.transport.Pools;
@@ -21,6 +30,7 @@
 
 /** One scheduler, wired: a front, the core with its module, a backend and a directory, all on one event loop. */
 final class Scheduler {
+    private static final Logger LOG = Logger.getLogger(Scheduler.class.getName());
     // After SIGTERM new connections keep coming for up to 0.4 s; they are taken for a little longer than that.
     private static final double LISTEN_ON = 450;
     // The platform kills no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after SIGTERM.
@@ -36,6 +46,8 @@
     private Front front;
     private Core core;
     private InetSocketAddress listAt;
+    private Ledger ledger;
+    private NodeRecords nodes;
     private double serveOn = LISTEN_ON, answerBy = Double.POSITIVE_INFINITY;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
@@ -73,39 +85,102 @@
         return scheduler;
     }
 
-    /** The gateway of the object API. */
-    static Scheduler of(ObjectConfig config, EventLoop loop, Ticker ticker) {
+    /** The gateway of the object API. Its store, if it has one, is opened here and not on the event loop. */
+    static Scheduler of(ObjectConfig config, EventLoop loop, Ticker ticker) throws Config.Bad {
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
-        loop.submit(() -> {
-            Pools pools = new Pools(loop, ticker,
-                new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), ObjectBackend::codec);
-            Core core = scheduler.core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
-                new ObjectBackend(pools, ticker, config.stall()));
-            ObjectConfig.Xds xds = config.xds();
-            Directory directory = () -> { };
-            if (xds.server() == null) {
-                core.learn(xds.inline(), true, false);
-            } else {
-                core.learn(List.of(), true, true);
-                directory = scheduler.poll(config);
-            }
-            core.start(directory);
-            if (xds.server() != null && !config.settings().listMustBeAsked()) {
-                directory.watch();   // xDS by REST must be asked, whatever the settings say of the platform's list
+        Ledger ledger = scheduler.ledger = config.store() == null ? null : config.store().open(loop, ticker);
+        try {
+            NodeRecords nodes = scheduler.nodes = ledger == null ? null : ledger.nodes();
+            List<Member> known = nodes == null ? List.of() : kept(nodes, config, ticker.now());
+            Map<String, Double> limits = ledger == null ? Map.of() : limits(ledger, config, ticker.now());
+            loop.submit(() -> {
+                scheduler.wire(config, known, limits);
+                return null;
+            }).sync();
+            return scheduler;
+        } catch (Exception e) {
+            scheduler.close();
+            if (e instanceof IOException || e instanceof StoreFault) {
+                throw new Config.Bad("store.folders: " + e.getMessage());
             }
-            scheduler.front = new ObjectFront(core, ticker, config.options());
-        }).syncUninterruptibly();
-        return scheduler;
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void wire(ObjectConfig config, List<Member> known, Map<String, Double> limits)
+        throws IOException, StoreFault {
+        Pools pools = new Pools(loop, ticker,
+            new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), ObjectBackend::codec);
+        core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
+            new ObjectBackend(pools, ticker, config.stall()));
+        ObjectConfig.Xds xds = config.xds();
+        Directory directory = () -> { };
+        if (xds.server() == null) {
+            core.learn(xds.inline(), true, false);
+        } else {
+            core.learn(known, true, true);
+            directory = poll(config);
+        }
+        core.start(directory);
+        core.restoreLimits(limits);
+        if (xds.server() != null && !config.settings().listMustBeAsked()) {
+            directory.watch();   // xDS by REST must be asked, whatever the settings say of the platform's list
+        }
+        front = new ObjectFront(core, ticker, config.options(), ledger);
+    }
+
+    /** The node list that the life before kept, as far as its age allows. */
+    private static List<Member> kept(NodeRecords nodes, ObjectConfig config, double now) throws IOException, StoreFault {
+        NodeRecords.Saved saved = nodes.read();
+        if (saved == null || config.xds().server() == null) {
+            return List.of();
+        }
+        List<Member> usable = NodeRecords.usable(saved, now, config.store().listExpires());
+        LOG.info(() -> "starts from a node list " + (long) ((now - saved.at()) / 1000) + " s old: " + usable.size()
+            + " of its " + saved.members().size() + " nodes are used");
+        return usable;
+    }
+
+    private static Map<String, Double> limits(Ledger ledger, ObjectConfig config, double now)
+        throws IOException, StoreFault {
+        Map<String, LimitStart.Saved> saved = ledger.limits().take();
+        Map<String, Double> levels = new HashMap<>();
+        config.options().buckets().forEach((name, bucket) -> config.settings().plans().stream()
+            .filter(p -> p.name().equals(bucket.plan()) && p.limitRate() > 0)
+            .forEach(p -> levels.put(name, LimitStart.level(saved.get(name), 1.0 / bucket.hosts(), p.limitRate(),
+                p.limitBurst(), p.limitSlack(), now))));
+        return levels;
+    }
+
+    /** After everybody has left: what must outlive the end is written, and the folders are let go. */
+    void end() {
+        if (ledger != null) {
+            loop.submit(() -> ledger.limits().end(core.limitLevels(), ticker.now())).syncUninterruptibly();
+        }
+        close();
+    }
+
+    /** Lets the store go without a word on what was spent. */
+    void close() {
+        if (ledger != null) {
+            ledger.close();
+        }
     }
 
     private DiscoveryWatch watch(InetSocketAddress discovery, long version) {
         return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version);
     }
 
+    private void keep(List<Member> members) {
+        if (nodes != null) {
+            nodes.told(members, ticker.now());
+        }
+    }
+
     private XdsPoll poll(ObjectConfig config) {
         ObjectConfig.Xds xds = config.xds();
         return new XdsPoll(new HttpCall(loop, ticker, xds.server()), ticker, core, new XdsPoll.Query(text(xds.server()),
-            xds.cluster(), config.options().shards(), config.name(), "kelphollow", xds.refresh()));
+            xds.cluster(), config.options().shards(), config.name(), "kelphollow", xds.refresh()), this::keep);
     }
 
     /**
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -79,6 +79,11 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+            if (all) {
+                scheduler.end();
+            } else {
+                scheduler.close();
+            }
             System.err.println("kelphollow: left" + (all ? "" : " with connections open") + "; "
                 + Invariant.broken() + " invariants broken");
             Runtime.getRuntime().halt(0);   // an exit by signal would tell of a failure
--- a/src/main/java/kelphollow/protocol/object/ObjectCall.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectCall.java
@@ -165,13 +165,22 @@
 
     /** The call that tells whether this part is stored. */
     ObjectCall listThisPart() {
+        return listParts("&max-parts=1&part-number-marker=" + (partNumber - 1));
+    }
+
+    /** The call that tells whether this upload is still open. */
+    ObjectCall listParts() {
+        return listParts("&max-parts=1");
+    }
+
+    private ObjectCall listParts(String which) {
         String path = uri.substring(0, uri.indexOf('?'));
         String id = java.net.URLEncoder.encode(uploadId, StandardCharsets.UTF_8);
         HttpHeaders own = headers.copy();
         for (String name : List.of("Content-Length", "Content-MD5", "Content-Type", "Expect")) {
             own.remove(name);
         }
-        return new ObjectCall(Op.LIST_PARTS, HttpMethod.GET, path + "?uploadId=" + id + "&max-parts=1&part-number-marker="
-            + (partNumber - 1), bucket, key, own, 0, -1, uploadId, partNumber);
+        return new ObjectCall(Op.LIST_PARTS, HttpMethod.GET, path + "?uploadId=" + id + which, bucket, key, own, 0, -1,
+            uploadId, partNumber);
     }
 }
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -42,6 +42,7 @@
     private Request routed;
     private ByteArrayOutputStream document;
     private PartSending part;
+    private CompletionSending completion;
     private boolean continued;
     private Ticker.Timeout stall;
 
@@ -147,7 +148,8 @@
             if (last) {
                 byte[] whole = document.toByteArray();
                 document = null;
-                send(whole);
+                completion = new CompletionSending(front, this, whole);
+                completion.begin();
             } else {
                 read();
             }
@@ -206,6 +208,8 @@
         }
         if (part != null) {
             part.served(whole);
+        } else if (completion != null) {
+            completion.served(whole);
         } else {
             answer(whole);
         }
@@ -216,25 +220,26 @@
         if (whole.status() / 100 == 2 && call.op() == ObjectCall.Op.CREATE) {
             String uploadId = S3Xml.first(whole.body(), "UploadId");
             if (uploadId != null) {
-                front.parts.begun(call.bucket() + '/' + call.key() + '?' + uploadId);
+                front.parts.begun(call.bucket() + '/' + call.key() + '?' + uploadId, front.ticker.now());
             }
-        } else if (whole.status() / 100 == 2
-            && (call.op() == ObjectCall.Op.COMPLETE || call.op() == ObjectCall.Op.ABORT)) {
+        } else if (whole.status() / 100 == 2 && call.op() == ObjectCall.Op.ABORT) {
             front.parts.over(Parts.upload(call));
         }
     }
 
     @Override public void refused(double after, boolean timedOut) {
-        end(timedOut ? S3Error.failed(true) : S3Error.refused(after));
+        end(timedOut ? S3Error.failed(true) : S3Error.refused(after), timedOut);
     }
 
     @Override public void failed(boolean timedOut) {
-        end(S3Error.failed(timedOut));
+        end(S3Error.failed(timedOut), true);
     }
 
-    private void end(S3Error error) {
+    private void end(S3Error error, boolean mayHaveRun) {
         if (part != null) {
-            part.failed(error);
+            part.ended(error);
+        } else if (completion != null) {
+            completion.failed(error, mayHaveRun);
         } else {
             answer(error);
         }
@@ -308,5 +313,8 @@
         if (part != null) {
             part.withdrawn();
         }
+        if (completion != null) {
+            completion.withdrawn(transfer != null);
+        }
     }
 }
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -3,14 +3,18 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flow.FlowControlHandler;
+import java.io.IOException;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import kelphollow.decision.ControlApi.Arrival;
+import kelphollow.ledger.Ledger;
+import kelphollow.recovery.Fates;
 import kelphollow.routing.Core;
 import kelphollow.routing.Ticker;
+import kelphollow.store.StoreFault;
 import kelphollow.transport.Front;
 
 /** The front for clients of the object API over HTTP. */
@@ -36,17 +40,26 @@
     final Ticker ticker;
     final Options options;
     final Parts parts;
+    final Completions completions;
     final Set<ObjectClient> clients = new LinkedHashSet<>();
     final double startedAt;
     Runnable leaving;
     private long exchanges;
 
-    public ObjectFront(Core core, Ticker ticker, Options options) {
+    /** {@code ledger} is null where nothing outlives this process; otherwise what it holds is taken over. */
+    public ObjectFront(Core core, Ticker ticker, Options options, Ledger ledger) throws IOException, StoreFault {
         this.core = core;
         this.ticker = ticker;
         this.options = options;
-        this.parts = new Parts(options.parts(), options.write().deadline());
         this.startedAt = ticker.now();
+        double settle = options.write().deadline();
+        this.parts = new Parts(options.parts(), settle, ledger == null ? null : ledger.parts());
+        this.completions = new Completions(options.parts(), settle, ledger == null ? null : ledger.completions());
+        if (ledger != null) {
+            Fates fates = new Fates(ledger.epoch(), startedAt, settle, ledger.isIntact());
+            parts.restore(fates, startedAt);
+            completions.restore(fates, startedAt);
+        }
     }
 
     @Override public void accept(Channel channel) {
--- a/src/main/java/kelphollow/protocol/object/PartSending.java
+++ b/src/main/java/kelphollow/protocol/object/PartSending.java
@@ -16,21 +16,25 @@
  * A client's sending of one part. It is passed on only if the part cannot have been written yet; otherwise its
  * content is read and compared with what was written, and the client gets the recorded answer or a conflict.
  */
-final class PartSending implements Parts.Waiter {
+final class PartSending implements Parts.Waiter, NodeQuestion.Reply {
     private final ObjectFront front;
     private final ObjectExchange exchange;
     private final MessageDigest digest = Parts.digest();
     private Parts.Part part;
-    private boolean sender, asking;
+    private final NodeQuestion question;
+    private IntentWait intent;
+    private boolean sender;
     private Parts.State before;
     private long size;
-    private Request asked;
+    private double unknownSince;
+    private boolean mayBeYet;
     private Parts.End end;
     private Parts.Print print;
 
     PartSending(ObjectFront front, ObjectExchange exchange) {
         this.front = front;
         this.exchange = exchange;
+        this.question = new NodeQuestion(front, this);
     }
 
     void begin() {
@@ -54,9 +58,9 @@
     }
 
     private void passOn() {
-        part.state = Parts.State.BUSY;
         sender = true;
-        exchange.send(null);
+        intent = new IntentWait(front.ticker, front.options.write().deadline(), () -> exchange.send(null), this::unsent);
+        part.sending(front.ticker.now(), intent::recorded);
     }
 
     /** Reads the body away; it is answered once it is whole and the end of the first sending is known. */
@@ -112,36 +116,18 @@
 
     private void ask() {
         // What is not remembered may have been sent by the life before, whose attempts ended when this one began.
-        double unknownSince = part.state == Parts.State.UNKNOWN ? part.unknownSince : front.startedAt;
-        boolean mayBeYet = front.ticker.now() - unknownSince < front.options.write().deadline();
+        unknownSince = part.state == Parts.State.UNKNOWN ? part.unknownSince : front.startedAt;
+        mayBeYet = front.ticker.now() - unknownSince < front.options.write().deadline();
         before = part.state;
         part.state = Parts.State.BUSY;
-        asking = true;
-        ObjectCall list = exchange.call().listThisPart();
-        try {
-            Request taken = front.core.take(front.facts(list), new Transfer(list, null, exchange), new Caller() {
-                @Override public void served(Object answer) {
-                    asking = false;
-                    listed((Transfer.Answer) answer, unknownSince, mayBeYet);
-                }
-
-                @Override public void refused(double after, boolean timedOut) {
-                    asking = false;
-                    release(timedOut ? S3Error.failed(true) : S3Error.refused(after));
-                }
+        question.ask(exchange.call().listThisPart(), exchange);
+    }
 
-                @Override public void failed(boolean timedOut) {
-                    asking = false;
-                    release(S3Error.failed(timedOut));
-                }
-            });
-            asked = asking ? taken : null;
-        } catch (S3Error e) {
-            release(e);
-        }
+    @Override public void failed(S3Error error) {
+        release(error);
     }
 
-    private void listed(Transfer.Answer answer, double unknownSince, boolean mayBeYet) {
+    @Override public void answered(Transfer.Answer answer) {
         if (answer.status() != 200) {
             release(null);
             exchange.answer(answer);
@@ -156,7 +142,7 @@
         }
         if (stored != null) {
             Parts.Print content = new Parts.Print(stored.size(), stored.etag().replace("\"", ""));
-            part.stored(content, stored.etag());
+            part.stored(content, stored.etag(), front.ticker.now());
             compareWith(new Parts.End(content, stored.etag(), null));
         } else if (mayBeYet) {
             // The attempt whose end is unknown may still be at work; sending another now could store it twice.
@@ -185,7 +171,7 @@
         sender = false;
         String etag = answer.headers().get(HttpHeaderNames.ETAG);
         if (answer.status() == 200 && etag != null && print != null) {
-            part.stored(print, etag);
+            part.stored(print, etag, front.ticker.now());
         } else if (answer.status() / 100 == 4) {
             part.forget(S3Error.refused(1));
         } else {
@@ -194,34 +180,39 @@
         exchange.answer(answer);
     }
 
-    void failed(S3Error error) {
+    /** The sending ended without an answer of the node. */
+    void ended(S3Error error) {
+        end(error);
+        exchange.answer(error);
+    }
+
+    /** Nothing went out, since the record of it is not safe. */
+    private void unsent(S3Error error) {
+        sender = false;
+        part.forget(error);
+        exchange.answer(error);
+    }
+
+    private void end(S3Error error) {
         sender = false;
-        if (exchange.transfer().isBodyWhole()) {
+        if (exchange.transfer() != null && exchange.transfer().isBodyWhole()) {
             part.unknown(front.ticker.now(), error);
         } else {
             part.forget(error);
         }
-        exchange.answer(error);
     }
 
     void withdrawn() {
+        if (intent != null) {
+            intent.callOff();
+        }
         if (sender) {
-            failedSilently();
-        } else if (asking) {
-            asking = false;
-            front.core.gone(asked);
+            end(S3Error.refused(1));
+        } else if (question.isAsking()) {
+            question.callOff();
             release(null);
         } else if (part != null) {
             part.leave(this);
         }
     }
-
-    private void failedSilently() {
-        sender = false;
-        if (exchange.transfer() != null && exchange.transfer().isBodyWhole()) {
-            part.unknown(front.ticker.now(), S3Error.failed(false));
-        } else {
-            part.forget(S3Error.refused(1));
-        }
-    }
 }
--- a/src/main/java/kelphollow/protocol/object/Parts.java
+++ b/src/main/java/kelphollow/protocol/object/Parts.java
@@ -1,5 +1,6 @@
 package kelphollow.protocol.object;
 
+import java.io.IOException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
@@ -10,10 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import kelphollow.ledger.PartRecords;
+import kelphollow.recovery.Fate;
+import kelphollow.recovery.Fates;
+import kelphollow.store.StoreFault;
 
 /**
  * What is known of the parts of uploads, so that none is written twice. Memory is bounded: what is forgotten is
- * asked of the node again, by ListParts, before anything is sent.
+ * asked of the node again, by ListParts, before anything is sent. With records it outlives the process.
  */
 final class Parts {
     /** What a client's sending of a part has to wait for, or what it may do. */
@@ -42,18 +48,33 @@
     /** One part of one upload. */
     final class Part {
         private final String upload, name;
+        private final int number;
+        /** Whether there is a record that it may have gone out. */
+        private boolean isRecorded;
         private final List<Waiter> waiters = new ArrayList<>(1);
         State state;
         Print print;
         String etag;
         double unknownSince;
 
-        private Part(String upload, String name, State state) {
+        private Part(String upload, int number, State state) {
             this.upload = upload;
-            this.name = name;
+            this.number = number;
+            this.name = upload + '#' + number;
             this.state = state;
         }
 
+        /** It is about to go out; hears when this cannot be forgotten any more. */
+        void sending(double now, Consumer<StoreFault> then) {
+            state = State.BUSY;
+            if (records == null) {
+                then.accept(null);
+            } else {
+                isRecorded = true;
+                records.intent(upload, number, now, then);
+            }
+        }
+
         void join(Waiter waiter) {
             waiters.add(waiter);
         }
@@ -62,10 +83,14 @@
             waiters.remove(waiter);
         }
 
-        void stored(Print content, String tag) {
+        void stored(Print content, String tag, double now) {
             state = State.STORED;
             print = content;
             etag = tag;
+            if (records != null) {
+                isRecorded = true;
+                records.stored(upload, number, content.size, content.md5, tag, now);
+            }
             tell(new End(content, tag, null));
         }
 
@@ -79,6 +104,9 @@
         /** Nothing was stored by this sending: the next one begins anew. */
         void forget(S3Error error) {
             parts.remove(name, this);
+            if (isRecorded) {
+                records.neverRan(upload, number);
+            }
             tell(new End(null, null, error));
         }
 
@@ -91,14 +119,48 @@
 
     private final int most;
     private final double settle;
+    private final PartRecords records;
     private final Map<String, Part> parts = new LinkedHashMap<>(16, 0.75f, true);
     /** Uploads begun through this process of which no part was forgotten: what is not in {@link #parts} was never sent. */
     private final Set<String> complete = new LinkedHashSet<>();
 
-    /** {@code settle} is how long after its last sign an attempt may still take effect. */
-    Parts(int most, double settle) {
+    /**
+     * {@code settle} is how long after its last sign an attempt may still take effect; {@code records} is null where
+     * nothing outlives this process.
+     */
+    Parts(int most, double settle, PartRecords records) {
         this.most = most;
         this.settle = settle;
+        this.records = records;
+    }
+
+    /** Takes over what the lives before have left, as far as there is room for it. */
+    void restore(Fates fates, double now) throws IOException, StoreFault {
+        records.read(new PartRecords.Reader() {
+            @Override public void upload(String upload) {
+                if (fates.of(Fates.Found.NOTHING, 0, true).kind() == Fate.Kind.NEVER_RAN) {
+                    complete.add(upload);
+                }
+            }
+
+            @Override public void part(String upload, int number, Fates.Found found, long epoch, long size, String md5,
+                                       String tag) {
+                Fate fate = fates.of(found, epoch, false);
+                Part part = new Part(upload, number, fate.kind() == Fate.Kind.RAN ? State.STORED : State.UNKNOWN);
+                part.isRecorded = true;
+                part.print = md5 == null ? null : new Print(size, md5);
+                part.etag = tag;
+                part.unknownSince = fate.safeFrom() - settle;
+                if (parts.size() < most || evict(now)) {
+                    parts.put(part.name, part);
+                } else {
+                    complete.remove(upload);
+                }
+            }
+        });
+        while (complete.size() > most) {
+            complete.remove(complete.iterator().next());
+        }
     }
 
     static String upload(ObjectCall call) {
@@ -106,17 +168,30 @@
     }
 
     /** An upload has been begun here. */
-    void begun(String upload) {
+    void begun(String upload, double now) {
         complete.add(upload);
+        if (records != null) {
+            records.begun(upload, now);
+        }
         if (complete.size() > most) {
-            complete.remove(complete.iterator().next());
+            incomplete(complete.iterator().next());
+        }
+    }
+
+    private void incomplete(String upload) {
+        if (complete.remove(upload) && records != null) {
+            records.incomplete(upload);
         }
     }
 
     /** An upload is over. */
     void over(String upload) {
         complete.remove(upload);
-        parts.values().removeIf(p -> p.upload.equals(upload) && p.state != State.BUSY);
+        List<Integer> gone = new ArrayList<>();
+        parts.values().removeIf(p -> p.upload.equals(upload) && p.state != State.BUSY && gone.add(p.number));
+        if (records != null) {
+            records.over(upload, gone);
+        }
     }
 
     /** The part, or a new one that is {@link State#ASK} unless it cannot have been sent before; null when all are busy. */
@@ -128,7 +203,7 @@
             if (parts.size() >= most && !evict(now)) {
                 return null;
             }
-            part = new Part(upload, name, State.ASK);
+            part = new Part(upload, call.partNumber(), State.ASK);
             parts.put(name, part);
         }
         return part;
@@ -144,7 +219,7 @@
             Part part = all.next();
             if (part.state == State.STORED || part.state == State.UNKNOWN && now - part.unknownSince > settle) {
                 all.remove();
-                complete.remove(part.upload);
+                incomplete(part.upload);
                 return true;
             }
         }
--- a/src/main/java/kelphollow/protocol/object/S3Xml.java
+++ b/src/main/java/kelphollow/protocol/object/S3Xml.java
@@ -48,6 +48,17 @@
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /** The name of the document's outermost element. */
+    static String root(byte[] document) throws XMLStreamException {
+        XMLStreamReader xml = INPUT.createXMLStreamReader(new ByteArrayInputStream(document));
+        while (xml.hasNext()) {
+            if (xml.next() == XMLStreamConstants.START_ELEMENT) {
+                return xml.getLocalName();
+            }
+        }
+        return null;
+    }
+
     /** The text of the first element of this name, or null. */
     static String first(byte[] document, String element) throws XMLStreamException {
         XMLStreamReader xml = INPUT.createXMLStreamReader(new ByteArrayInputStream(document));
--- a/src/main/java/kelphollow/protocol/xds/XdsPoll.java
+++ b/src/main/java/kelphollow/protocol/xds/XdsPoll.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import kelphollow.protocol.json.Json;
 import kelphollow.routing.Core;
@@ -40,12 +41,16 @@
     private boolean watching, stopped;
     private String clusterVersion = "", endpointVersion = "";
     private XdsClusters.Cluster cluster;
+    private final Consumer<List<Member>> told;
+    private List<Member> members = List.of();
 
-    public XdsPoll(HttpCall calls, Ticker ticker, Core core, Query query) {
+    /** {@code told} hears the whole list each time that it is told or confirmed. */
+    public XdsPoll(HttpCall calls, Ticker ticker, Core core, Query query, Consumer<List<Member>> told) {
         this.calls = calls;
         this.ticker = ticker;
         this.core = core;
         this.query = query;
+        this.told = told;
     }
 
     @Override public void watch() {
@@ -74,7 +79,7 @@
                 cluster = news;
                 clusterVersion = version;
                 if (news.inline() != null) {
-                    core.learn(news.inline(), true, false);
+                    learn(news.inline());
                 }
             }
             if (cluster.inline() == null) {
@@ -88,15 +93,22 @@
     private void askEndpoints() {
         ask("endpoints", XdsClusters.ASSIGNMENT, cluster.serviceName(), endpointVersion, (version, resources) -> {
             if (resources != null) {
-                List<Member> members = XdsClusters.endpoints(resources, cluster.serviceName(), query.shards());
+                List<Member> news = XdsClusters.endpoints(resources, cluster.serviceName(), query.shards());
                 endpointVersion = version;
-                core.learn(members, true, false);
+                learn(news);
             }
             later();
         });
     }
 
+    private void learn(List<Member> news) {
+        members = news;
+        core.learn(news, true, false);
+    }
+
+    /** All went well: the list as it stands has been told or confirmed. */
     private void later() {
+        told.accept(members);
         ticker.after(query.refresh(), this::askClusters);
     }
 
--- /dev/null
+++ b/src/main/java/kelphollow/recovery/Fates.java
@@ -0,0 +1,50 @@
+package kelphollow.recovery;
+
+/**
+ * Decides from what was read after a start what is known to have run, known not to have run, or unknown. No I/O, no
+ * threads; times are Unix milliseconds of the gateway's own clock.
+ *
+ * <p>The rules. A recorded outcome holds, of whichever life it is. An intent without one was out when its life ended;
+ * its connection closed at the latest when that process died, before this one held the store, but what the node had
+ * already been given may still be at work for as long as its class's deadline. Where nothing is recorded, only a
+ * complete record proves anything: a record is complete for what was begun under it, unless the store lost something
+ * or had forgotten it after its window.
+ */
+public final class Fates {
+    /** What the store holds on one piece of work. */
+    public enum Found { NOTHING, INTENT, OUTCOME }
+
+    private final long epoch;
+    private final double startedAt, settle;
+    private final boolean intact;
+
+    /**
+     * @param epoch of this life; each start has a higher one
+     * @param startedAt when this life began
+     * @param settle for how long after the end of a life its last attempts may take effect: the class's deadline
+     * @param intact whether the store was found without loss; after an accepted loss silence proves nothing
+     */
+    public Fates(long epoch, double startedAt, double settle, boolean intact) {
+        this.epoch = epoch;
+        this.startedAt = startedAt;
+        this.settle = settle;
+        this.intact = intact;
+    }
+
+    /**
+     * @param ofEpoch the life that wrote the record found
+     * @param complete whether everything of this kind that ever went out was recorded, and none of it forgotten
+     */
+    public Fate of(Found found, long ofEpoch, boolean complete) {
+        return switch (found) {
+            case OUTCOME -> Fate.RAN;
+            case INTENT -> ofEpoch == epoch ? Fate.RUNNING : Fate.unknown(startedAt + settle);
+            case NOTHING -> complete && intact ? Fate.NEVER_RAN : Fate.unknown(startedAt + settle);
+        };
+    }
+
+    /** Whether what is unknown can by now be settled by asking: what is not there then will not come any more. */
+    public static boolean isSettled(Fate fate, double now) {
+        return fate.kind() != Fate.Kind.UNKNOWN || now >= fate.safeFrom();
+    }
+}
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -63,6 +63,16 @@
         tell(new ListMoved());
     }
 
+    /** What an earlier life left of volumes' limits; before the first request. */
+    public void restoreLimits(Map<String, Double> levels) {
+        tell(new LimitsLeft(levels));
+    }
+
+    /** The levels of volumes' limits as they are now. */
+    public Map<String, Double> limitLevels() {
+        return control.limitLevels();
+    }
+
     double now() {
         return ticker.now();
     }
--- a/src/main/java/kelphollow/store/Opening.java
+++ b/src/main/java/kelphollow/store/Opening.java
@@ -27,7 +27,11 @@
     private final StoreOptions options;
     private final long now;
     private final Loss loss;
+    private final Progress progress;
     private final Report report = new Report();
+    /** Names of tables, as far as they are seen in passing. */
+    private final Map<Integer, String> names = new HashMap<>();
+    private final Map<Long, int[]> sizes = new HashMap<>();
     private final Map<Long, Segment> segments = new HashMap<>();
     private final Index.Editor index = new Index.Editor(Index.EMPTY);
     /** Keys whose latest operation seen so far is a removal, and its sequence. */
@@ -47,7 +51,8 @@
         }
     }
 
-    private Opening(Disk[] disks, StoreOptions options, long now, Loss loss) {
+    private Opening(Disk[] disks, StoreOptions options, long now, Loss loss, Progress progress) {
+        this.progress = progress;
         this.disks = disks;
         this.options = options;
         this.now = now;
@@ -55,8 +60,9 @@
     }
 
     /** Opens what is there, or makes a new store of two empty folders. */
-    static State open(Disk[] disks, StoreOptions options, long now, Loss loss) throws IOException, StoreFault {
-        Opening opening = new Opening(disks, options, now, loss);
+    static State open(Disk[] disks, StoreOptions options, long now, Loss loss, Progress progress)
+        throws IOException, StoreFault {
+        Opening opening = new Opening(disks, options, now, loss, progress);
         try {
             return opening.run();
         } catch (IOException | StoreFault e) {
@@ -66,11 +72,34 @@
     }
 
     /** Looks at everything, changes nothing. */
-    static Report look(Disk[] disks, StoreOptions options) throws IOException, StoreFault {
-        Opening opening = new Opening(disks, options.withCheckAll(true), 0, Loss.LOOK);
+    static Inspection look(Disk[] disks, StoreOptions options, Progress progress) throws IOException, StoreFault {
+        Opening opening = new Opening(disks, options.withCheckAll(true), 0, Loss.LOOK, progress);
         opening.manifest();
         opening.segments();
-        return opening.report;
+        return opening.inspection();
+    }
+
+    private Inspection inspection() {
+        Map<Long, Long> live = new HashMap<>();
+        Map<String, Integer> tables = new java.util.TreeMap<>();
+        index.publish().walk(new byte[0], (key, place) -> {
+            live.merge((long) place.segment(), (long) place.length(), Long::sum);
+            if (!Tables.isName(key)) {
+                tables.merge(names.getOrDefault(Format.int16(key, 0), "?"), 1, Integer::sum);
+            }
+            return true;
+        });
+        List<Inspection.SegmentLine> lines = new ArrayList<>();
+        long length = 0;
+        for (Manifest.Entry e : manifest.segments()) {
+            int[] size = sizes.get(e.id());
+            lines.add(new Inspection.SegmentLine(e.id(), size[0], size[1], live.getOrDefault(e.id(), 0L), e.isSealed(),
+                e.hintLength() > 0));
+            length += size[0];
+        }
+        return new Inspection(manifest.store().toString(), manifest.generation(), Math.max(time, manifest.time()),
+            Math.max(lastSequence, manifest.nextSequence() - 1), length,
+            live.values().stream().mapToLong(x -> x).sum(), lines, tables, report);
     }
 
     private boolean mayChange() {
@@ -130,13 +159,17 @@
         }
         for (int i = 0; i < disks.length; i++) {
             refuseStrangers(disks[i], found[i].manifest() != null);
-            if (!manifest.isSame(bytes[i])) {
-                if (mayChange()) {
-                    manifest.write(disks[i]);
-                }
-                report.healed(path(disks[i], Manifest.NAME), found[i].manifest() == null
-                    ? bytes[i].length == 0 ? "was missing" : "was damaged"
-                    : "was of generation " + found[i].manifest().generation() + " of " + manifest.generation());
+            if (manifest.isSame(bytes[i])) {
+                continue;
+            }
+            String was = found[i].manifest() != null
+                ? "was of generation " + found[i].manifest().generation() + " of " + manifest.generation()
+                : bytes[i].length == 0 ? "was missing" : "was damaged";
+            if (mayChange()) {
+                manifest.write(disks[i]);
+                report.healed(path(disks[i], Manifest.NAME), was);
+            } else {
+                report.add("differs", path(disks[i], Manifest.NAME), -1, -1, was);
             }
         }
     }
@@ -210,8 +243,10 @@
     private void segments() throws IOException, StoreFault {
         List<Manifest.Entry> entries = new ArrayList<>();
         boolean changed = false;
+        int done = 0;
         for (Manifest.Entry entry : manifest.segments()) {
             Manifest.Entry after = segment(entry);
+            progress.at(++done, manifest.segments().size());
             if (after != null) {
                 entries.add(after);
             }
@@ -253,7 +288,7 @@
         time = Math.max(time, merge.time());
         if (!mayChange()) {
             tell(merge, a, b, name);
-            operations(merge, entry.id(), true);
+            sizes.put(entry.id(), new int[] {merge.image().length, operations(merge, entry.id())});
             return entry;
         }
         if (!whole && loss == Loss.REFUSE) {
@@ -263,7 +298,7 @@
             return writeAnew(merge, entry);
         }
         heal(merge, a, b, name);
-        int count = operations(merge, entry.id(), true);
+        int count = operations(merge, entry.id());
         Segment segment = Segment.open(disks, entry, merge.image().length, count);
         segments.put(entry.id(), segment);
         if (!entry.isSealed()) {
@@ -364,16 +399,18 @@
         return entries;
     }
 
-    private int operations(SegmentMerge merge, long segment, boolean take) {
+    /** Takes all operations of a segment into the index and counts them. */
+    private int operations(SegmentMerge merge, long segment) {
         int[] count = new int[1];
         for (SegmentMerge.Frame frame : merge.frames()) {
             SegmentMerge.ops(merge.image(), frame, op -> {
                 count[0]++;
-                if (take) {
-                    lastSequence = Math.max(lastSequence, op.sequence());
-                    apply(op.kind(), op.key(),
-                        new Index.Place((int) segment, op.at(), op.length(), op.sequence(), op.expires()));
+                lastSequence = Math.max(lastSequence, op.sequence());
+                byte[] key = op.key();
+                if (op.kind() == Format.PUT && Tables.isName(key) && op.valueLength() == 2) {
+                    names.put(Format.int16(op.value(), 0), Tables.textOf(key));
                 }
+                apply(op.kind(), key, new Index.Place((int) segment, op.at(), op.length(), op.sequence(), op.expires()));
             });
         }
         return count[0];
--- a/src/main/java/kelphollow/store/Store.java
+++ b/src/main/java/kelphollow/store/Store.java
@@ -69,22 +69,28 @@
      */
     public static Store open(Disk first, Disk second, StoreOptions options, LongSupplier clock)
         throws IOException, StoreFault {
-        return open(first, second, options, clock, Opening.Loss.REFUSE);
+        return open(first, second, options, clock, Opening.Loss.REFUSE, Progress.NONE);
     }
 
-    /** The operator's word: opens the store without what is whole in neither copy. The report names what was lost. */
-    public static Store openAcceptingLoss(Disk first, Disk second, StoreOptions options, LongSupplier clock)
+    /** The same, for tools that tell how far it has come. */
+    public static Store open(Disk first, Disk second, StoreOptions options, LongSupplier clock, Progress progress)
         throws IOException, StoreFault {
-        return open(first, second, options, clock, Opening.Loss.ACCEPT);
+        return open(first, second, options, clock, Opening.Loss.REFUSE, progress);
     }
 
-    private static Store open(Disk first, Disk second, StoreOptions options, LongSupplier clock, Opening.Loss loss)
-        throws IOException, StoreFault {
+    /** The operator's word: opens the store without what is whole in neither copy. The report names what was lost. */
+    public static Store openAcceptingLoss(Disk first, Disk second, StoreOptions options, LongSupplier clock,
+                                          Progress progress) throws IOException, StoreFault {
+        return open(first, second, options, clock, Opening.Loss.ACCEPT, progress);
+    }
+
+    private static Store open(Disk first, Disk second, StoreOptions options, LongSupplier clock, Opening.Loss loss,
+                              Progress progress) throws IOException, StoreFault {
         Disk[] disks = {first, second};
         List<Closeable> locks = lock(disks);
         Opening.State state = null;
         try {
-            state = Opening.open(disks, options, clock.getAsLong(), loss);
+            state = Opening.open(disks, options, clock.getAsLong(), loss, progress);
             Store store = new Store(disks, locks, state, options, clock);
             if (!options.inline()) {
                 store.start(store.writer, "store-writer");
@@ -101,11 +107,16 @@
     }
 
     /** Looks at all bytes of both copies and changes nothing. */
-    public static Report verify(Disk first, Disk second, StoreOptions options) throws IOException, StoreFault {
+    public static Inspection inspect(Disk first, Disk second, StoreOptions options, Progress progress)
+        throws IOException, StoreFault {
         Disk[] disks = {first, second};
+        if (!first.has(Manifest.NAME) && !second.has(Manifest.NAME)) {
+            throw new StoreFault(StoreFault.Kind.FOREIGN, first.place() + " and " + second.place()
+                + " hold no " + Manifest.NAME + ": there is no store");
+        }
         List<Closeable> locks = lock(disks);
         try {
-            return Opening.look(disks, options);
+            return Opening.look(disks, options, progress);
         } finally {
             unlock(locks);
         }
--- a/src/main/java/kelphollow/store/Tables.java
+++ b/src/main/java/kelphollow/store/Tables.java
@@ -26,8 +26,13 @@
         return key[0] == 0 && key[1] == 0;
     }
 
+    /** The text behind a key's two bytes. */
+    static String textOf(byte[] key) {
+        return new String(key, 2, key.length - 2, StandardCharsets.UTF_8);
+    }
+
     void load(byte[] key, byte[] value) {
-        enter(new String(key, 2, key.length - 2, StandardCharsets.UTF_8), Format.int16(value, 0));
+        enter(textOf(key), Format.int16(value, 0));
     }
 
     private void enter(String name, int number) {
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -106,6 +106,11 @@
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    /** As after SIGTERM, when all have left. */
+    void end() {
+        scheduler.end();
+    }
+
     @Override public void close() {
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
     }
--- /dev/null
+++ b/src/test/java/kelphollow/program/StoreRestartTest.java
@@ -0,0 +1,281 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import kelphollow.program.StandInServer.Fault;
+import kelphollow.program.StandInServer.Fault.Kind;
+import kelphollow.program.StandInServer.Stored;
+import kelphollow.routing.Invariant;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A gateway with a store that is killed and started again: what it may answer, must ask for, and may send. */
+@org.junit.jupiter.api.Timeout(30)
+class StoreRestartTest {
+    private static final byte[] CONTENT = "0123456789".getBytes();
+    private static final byte[] LIST = "<CompleteMultipartUpload/>".getBytes();
+    private static final int SETTLED = 3_100;
+    @TempDir Path folder;
+    private int lives;
+    private StandInServer server;
+    private Bench bench;
+    private StandInClient client;
+
+    @BeforeEach void start() throws Exception {
+        server = new StandInServer();
+        begin();
+    }
+
+    private Map<String, Object> store() {
+        return Map.of("folders", List.of(folder.resolve(lives + "a").toString(), folder.resolve(lives + "b").toString()));
+    }
+
+    private void begin() throws Exception {
+        Map<String, Object> objects = new HashMap<>(Bench.part(Bench.example(), "objects"));
+        objects.put("shards", 1.0);
+        bench = Bench.objects(Map.of("objects", objects, "store", store()), server.address());
+        client = new StandInClient(bench.address);
+    }
+
+    /** What the system had been given stays, the process goes: the next life works on copies of the folders. */
+    private void kill() throws Exception {
+        client.close();
+        for (String side : new String[] {"a", "b"}) {
+            Path from = folder.resolve(lives + side), to = folder.resolve(lives + 1 + side);
+            Files.createDirectories(to);
+            try (var files = Files.list(from)) {
+                for (Path file : files.toList()) {
+                    Files.copy(file, to.resolve(file.getFileName()));
+                }
+            }
+        }
+        lives++;
+        bench.close();
+        begin();
+    }
+
+    @AfterEach void stop() throws Exception {
+        client.close();
+        bench.close();
+        server.close();
+        assertEquals(0, Invariant.broken());
+    }
+
+    private String upload() throws Exception {
+        String id = client.call("POST /symbols/m?uploads", "", null).text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
+        server.seen.clear();
+        return id;
+    }
+
+    private static String part(String id, int n) {
+        return "PUT /symbols/m?partNumber=" + n + "&uploadId=" + id;
+    }
+
+    /** Lets the stand-in's own thread do what it now may. */
+    private static void await(java.util.function.BooleanSupplier done) throws InterruptedException {
+        for (int i = 0; i < 5_000 && !done.getAsBoolean(); i++) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertTrue(done.getAsBoolean());
+    }
+
+    /** A connection of its own: one whose body was not read is closed behind its answer. */
+    private StandInClient.Answer callAnew(String line, byte[] body) throws IOException {
+        try (StandInClient other = new StandInClient(bench.address)) {
+            return other.call(line, "", body);
+        }
+    }
+
+    @Test void aPartSentTwiceOverAKillIsAnsweredFromTheStore() throws Exception {
+        String id = upload();
+        StandInClient.Answer first = client.call(part(id, 1), "", CONTENT);
+        kill();
+        server.seen.clear();
+        StandInClient.Answer again = client.call(part(id, 1), "", CONTENT);
+        assertEquals(200, again.status());
+        assertEquals(first.headers().get("ETag"), again.headers().get("ETag"));
+        assertEquals(409, client.call(part(id, 1), "", "other".getBytes()).status());
+        assertTrue(server.seen.isEmpty(), "nobody was asked");
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    /** The whole record of an upload proves that a part was never sent: it goes out at once, without a question. */
+    @Test void aPartThatWasNeverSentGoesOutAtOnceAfterAKill() throws Exception {
+        String id = upload();
+        client.call(part(id, 1), "", CONTENT);
+        kill();
+        server.seen.clear();
+        assertEquals(200, client.call(part(id, 2), "", CONTENT).status());
+        assertEquals(List.of(part(id, 2) + " HTTP/1.1"), List.copyOf(server.seen));
+    }
+
+    @Test void aPartThatWasOutWhenTheGatewayDiedIsAskedForAndNeverSentBlind() throws Exception {
+        String id = upload();
+        Fault hold = Fault.of("PUT", Kind.HOLD);
+        server.faults.add(hold);
+        client.send(part(id, 1), "", CONTENT);
+        server.seen.take();
+        kill();
+        assertEquals(503, client.call(part(id, 1), "", CONTENT).status(), "it may still be at work");
+        assertEquals("GET", server.seen.take().substring(0, 3));
+        hold.gate().countDown();
+        bench.ticker.advance(SETTLED);
+        await(() -> server.partWrites.containsKey(id + "#1"));
+        StandInClient.Answer again = callAnew(part(id, 1), CONTENT);
+        assertEquals(200, again.status());
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    @Test void aPartThatIsNotThereOnceItCannotComeAnyMoreIsSent() throws Exception {
+        String id = upload();
+        Fault lost = Fault.of("PUT", Kind.HOLD);
+        server.faults.add(lost);
+        client.send(part(id, 1), "", CONTENT);
+        server.seen.take();
+        kill();
+        bench.ticker.advance(SETTLED);
+        assertEquals(200, client.call(part(id, 1), "", CONTENT).status());
+        assertEquals("GET", server.seen.take().substring(0, 3));
+        assertEquals("PUT", server.seen.take().substring(0, 3));
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
+    @Test void aCompletionSentTwiceOverAKillIsAnsweredFromTheStore() throws Exception {
+        String id = upload();
+        client.call(part(id, 1), "", CONTENT);
+        String line = "POST /symbols/m?uploadId=" + id;
+        StandInClient.Answer first = client.call(line, "", LIST);
+        assertEquals(200, first.status());
+        kill();
+        server.seen.clear();
+        StandInClient.Answer again = client.call(line, "", LIST);
+        assertEquals(200, again.status());
+        assertEquals(first.text(), again.text());
+        assertEquals(404, client.call(line, "", "<other/>".getBytes()).status());
+        assertTrue(server.seen.isEmpty(), "nobody was asked");
+    }
+
+    @Test void aCompletionThatWasOutWhenTheGatewayDiedIsLookedForFirst() throws Exception {
+        String id = upload();
+        client.call(part(id, 1), "", CONTENT);
+        String line = "POST /symbols/m?uploadId=" + id;
+        server.seen.clear();
+        Fault hold = Fault.of("POST", Kind.HOLD);
+        server.faults.add(hold);
+        client.send(line, "", LIST);
+        server.seen.take();
+        kill();
+        assertEquals(503, client.call(line, "", LIST).status(), "it may still be at work");
+        hold.gate().countDown();
+        server.seen.clear();
+        bench.ticker.advance(SETTLED);
+        await(() -> server.objects.containsKey("/symbols/m"));
+        assertEquals(404, client.call(line, "", LIST).status(), "the upload is gone: it was completed");
+        assertTrue(server.seen.stream().noneMatch(l -> l.startsWith("POST")), server.seen.toString());
+        assertArrayEquals(CONTENT, server.objects.get("/symbols/m").bytes());
+    }
+
+    @Test void aCompletionOfUnknownOutcomeIsAskedForBeforeItIsSentAgain() throws Exception {
+        String id = upload();
+        client.call(part(id, 1), "", CONTENT);
+        String line = "POST /symbols/m?uploadId=" + id;
+        server.faults.add(Fault.of("POST", Kind.CRASH_BEFORE));
+        assertEquals(502, client.call(line, "", LIST).status());
+        bench.ticker.advance(SETTLED);
+        server.seen.clear();
+        assertEquals(200, client.call(line, "", LIST).status());
+        assertEquals("GET", server.seen.take().substring(0, 3));
+        assertEquals("POST", server.seen.take().substring(0, 4));
+    }
+
+    @Test void anAbortedUploadLeavesNothingBehind() throws Exception {
+        String id = upload();
+        client.call(part(id, 1), "", CONTENT);
+        assertEquals(204, client.call("DELETE /symbols/m?uploadId=" + id, "", null).status());
+        kill();
+        assertEquals(404, client.call(part(id, 1), "", CONTENT).status());
+    }
+
+    @Test void aSecondProgramOnTheFoldersIsRefusedAndTheKeyNamed() {
+        Config.Bad bad = assertThrows(Config.Bad.class,
+            () -> Bench.objects(Map.of("store", store()), server.address()));
+        assertTrue(bad.getMessage().startsWith("store.folders: "), bad.getMessage());
+        assertTrue(bad.getMessage().endsWith("is held by a running program"), bad.getMessage());
+    }
+
+    @Test void faultyKeysAreNamed() throws Exception {
+        Files.writeString(folder.resolve("file"), "somebody's");
+        Files.createDirectories(folder.resolve("full"));
+        Files.writeString(folder.resolve("full/other.db"), "somebody's");
+        String a = folder.resolve("x").toString();
+        Object[][] faults = {{Map.of("folders", List.of(a)), "store.folders must be"},
+            {Map.of("folders", List.of(a, a)), "store.folders[1] is the same"},
+            {Map.of("folders", List.of(a, 7.0)), "store.folders[1] is not a text"},
+            {Map.of("folders", List.of(a, a + "b"), "segment_bytes", 1.0), "store.segment_bytes"},
+            {Map.of("folders", List.of(a, a + "b"), "segmentbytes", 1.0), "store.segmentbytes is not known"},
+            {Map.of("folders", List.of(a, a + "b"), "check_all", "yes"), "store.check_all"},
+            {Map.of("folders", List.of(a, folder.resolve("file").toString())), "store.folders: "},
+            {Map.of("folders", List.of(a, folder.resolve("full").toString())), "store.folders: "}};
+        for (Object[] fault : faults) {
+            Config.Bad bad = assertThrows(Config.Bad.class,
+                () -> Bench.objects(Map.of("store", fault[0]), server.address()), (String) fault[1]);
+            assertTrue(bad.getMessage().startsWith((String) fault[1]), bad.getMessage());
+        }
+        assertEquals("somebody's", Files.readString(folder.resolve("full/other.db")));
+        try (var files = Files.list(folder.resolve("full"))) {
+            assertEquals(1, files.count(), "nothing was put beside it");
+        }
+    }
+
+    // ---------------------------------------------------------------- the node list
+
+    private Bench followingXds(InetSocketAddress xds) throws Exception {
+        Map<String, Object> objects = new HashMap<>(Bench.part(Bench.example(), "objects"));
+        objects.put("shards", 1.0);
+        return Bench.objects(Map.of("objects", objects, "store", store(), "xds",
+            Map.of("cluster", "dump-store", "server", "127.0.0.1:" + xds.getPort())), server.address());
+    }
+
+    @Test void aStartWithoutItsListServesFromTheLastOne() throws Exception {
+        client.close();
+        bench.close();
+        lives++;
+        server.objects.put("/symbols/a", new Stored(CONTENT, "\"e\""));
+        com.sun.net.httpserver.HttpServer xds = com.sun.net.httpserver.HttpServer.create(
+            new InetSocketAddress("127.0.0.1", 0), 0);
+        xds.createContext("/", exchange -> {
+            boolean clusters = exchange.getRequestURI().getPath().endsWith("clusters");
+            byte[] body = ("{\"version_info\":\"1\",\"resources\":[" + (clusters
+                ? "{\"@type\":\"type.googleapis.com/envoy.config.cluster.v3.Cluster\",\"name\":\"dump-store\",\"type\":\"EDS\","
+                    + "\"eds_cluster_config\":{\"service_name\":\"dump-store-endpoints\"}}"
+                : Bench.assignment("HEALTHY", server.address())) + "]}").getBytes();
+            exchange.sendResponseHeaders(200, body.length);
+            exchange.getResponseBody().write(body);
+            exchange.close();
+        });
+        xds.start();
+        bench = followingXds(xds.getAddress());
+        client = new StandInClient(bench.address);
+        for (int i = 0; i < 500 && client.call("GET /symbols/a", "", null).status() != 200; i++) {
+            bench.ticker.advance(10);
+        }
+        InetSocketAddress nobody = xds.getAddress();
+        xds.stop(0);
+        bench.end();
+        bench.close();
+        client.close();
+        bench = followingXds(nobody);
+        client = new StandInClient(bench.address);
+        assertArrayEquals(CONTENT, client.call("GET /symbols/a", "", null).body());
+    }
+}
--- /dev/null
+++ b/src/test/java/kelphollow/recovery/RecoveryTest.java
@@ -0,0 +1,82 @@
+package kelphollow.recovery;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.Random;
+import kelphollow.recovery.Fates.Found;
+import kelphollow.recovery.ListAge.Trust;
+import org.junit.jupiter.api.Test;
+
+/** What is decided from what was found after a start. */
+class RecoveryTest {
+    private final Fates fates = new Fates(7, 1_000, 3_000, true);
+
+    @Test void aRecordedOutcomeHoldsOfWhicheverLife() {
+        assertEquals(Fate.Kind.RAN, fates.of(Found.OUTCOME, 1, false).kind());
+        assertEquals(Fate.Kind.RAN, fates.of(Found.OUTCOME, 7, true).kind());
+        assertEquals(Fate.Kind.RAN, new Fates(7, 1_000, 3_000, false).of(Found.OUTCOME, 3, false).kind());
+    }
+
+    @Test void anIntentOfAnEarlierLifeIsUnknownUntilItsLastAttemptMustBeOver() {
+        Fate fate = fates.of(Found.INTENT, 6, true);
+        assertEquals(Fate.Kind.UNKNOWN, fate.kind());
+        assertFalse(Fates.isSettled(fate, 3_999));
+        assertTrue(Fates.isSettled(fate, 4_000));
+        assertEquals(Fate.Kind.RUNNING, fates.of(Found.INTENT, 7, true).kind());
+    }
+
+    @Test void silenceProvesSomethingOnlyOfACompleteRecordThatLostNothing() {
+        assertEquals(Fate.Kind.NEVER_RAN, fates.of(Found.NOTHING, 0, true).kind());
+        assertEquals(Fate.Kind.UNKNOWN, fates.of(Found.NOTHING, 0, false).kind());
+        assertEquals(Fate.Kind.UNKNOWN, new Fates(7, 1_000, 3_000, false).of(Found.NOTHING, 0, true).kind());
+    }
+
+    @Test void aLimitGoesOnFromACleanEndAndStartsEmptyAfterACrash() {
+        LimitStart.Saved clean = new LimitStart.Saved(20, 10_000, true);
+        assertEquals(20 + 0.5 * 5 * 2, LimitStart.level(clean, 0.5, 5, 1_000, 10, 12_000), 1e-9);
+        assertEquals(50, LimitStart.level(clean, 0.5, 5, 100, 10, 1e9), "no more than the burst");
+        assertEquals(20, LimitStart.level(clean, 0.5, 5, 100, 10, 5_000), "a clock that went back is no time");
+        assertEquals(-5, LimitStart.level(new LimitStart.Saved(-80, 0, true), 0.5, 5, 100, 10, 0), 1e-9);
+        assertEquals(0, LimitStart.level(new LimitStart.Saved(20, 10_000, false), 0.5, 5, 100, 10, 99_000));
+        assertEquals(0, LimitStart.level(null, 1, 5, 100, 10, 0));
+    }
+
+    /** One instance spends whenever it may, ends cleanly or by a crash at random, and comes back at random. */
+    @Test void noSequenceOfCrashesAndCleanEndsSendsMoreThanTheLimit() {
+        for (int seed = 0; seed < 500; seed++) {
+            Random random = new Random(seed);
+            double rate = 1 + random.nextInt(50), burst = rate * (1 + random.nextInt(5)), part = 1.0 / (1 + random.nextInt(3));
+            double now = 0, truth = burst * part, level = truth;
+            LimitStart.Saved saved = null;
+            for (int i = 0; i < 200; i++) {
+                double step = random.nextInt(400);
+                now += step;
+                truth = Math.min(burst * part, truth + step / 1000 * rate * part);
+                level = Math.min(burst * part, level + step / 1000 * rate * part);
+                double units = 1 + random.nextInt(6);
+                if (level >= units) {
+                    level -= units;
+                    truth -= units;
+                }
+                assertTrue(truth >= -1e-6, "seed " + seed + " sent " + -truth + " too much");
+                if (random.nextInt(15) == 0) {
+                    boolean clean = random.nextBoolean();
+                    saved = new LimitStart.Saved(clean ? level : burst, now, clean);
+                    double away = random.nextInt(5_000);
+                    now += away;
+                    truth = Math.min(burst * part, truth + away / 1000 * rate * part);
+                    level = LimitStart.level(saved, part, rate, burst, 1, now);
+                }
+            }
+        }
+    }
+
+    @Test void aListIsTrustedByItsAge() {
+        assertEquals(Trust.FRESH, ListAge.trust(1_000, 9_000, 3_600_000));
+        assertEquals(Trust.AGED, ListAge.trust(1_000, 60_000, 3_600_000));
+        assertEquals(Trust.EXPIRED, ListAge.trust(1_000, 3_601_000, 3_600_000));
+        assertEquals(Trust.EXPIRED, ListAge.trust(5_000, 1_000, 3_600_000), "a clock that went back tells no age");
+        assertEquals(70, ListAge.bornFor(Trust.AGED, 5, 70), "it may have started anew and be cold");
+        assertEquals(5, ListAge.bornFor(Trust.FRESH, 5, 70));
+    }
+}
--- a/src/test/java/kelphollow/store/CrashTest.java
+++ b/src/test/java/kelphollow/store/CrashTest.java
@@ -206,4 +206,20 @@
         rig.kill();
         rig.assertHoldsModel();
     }
+
+    /** Guards against dropping a value for one that overwrote it and that a power cut still forgets. */
+    @Test void compactionLeavesNothingToABufferedOverwriting() throws Exception {
+        StoreRig rig = new StoreRig().open();
+        rig.put("t", "key", "old");
+        for (int i = 0; i < 10; i++) {
+            rig.put("t", "other" + i, "x".repeat(100));
+        }
+        rig.write(new Batch().put("t", StoreRig.bytes("key"), StoreRig.bytes("new")), Grade.BUFFERED);
+        rig.store.compactAll();
+        for (int seed = 0; seed < 40; seed++) {
+            Random random = new Random(seed);
+            StoreRig cut = new StoreRig().on(rig.a.afterCut(random), rig.b.afterCut(random)).open();
+            assertNotNull(cut.get("t", "key"), "seed " + seed);
+        }
+    }
 }
--- a/src/test/java/kelphollow/store/EveryByteTest.java
+++ b/src/test/java/kelphollow/store/EveryByteTest.java
@@ -144,9 +144,9 @@
                     assertEquals(StoreFault.Kind.DAMAGED, fault.kind());
                     assertTrue(fault.getMessage().startsWith("damaged a/" + name + " offset=" + frame.at() + " sequence="),
                         fault.getMessage());
-                    Report report = Store.verify(rig.a, rig.b, rig.options);
+                    Report report = Store.inspect(rig.a, rig.b, rig.options, Progress.NONE).report();
                     assertTrue(report.isDamaged());
-                    rig.store = Store.openAcceptingLoss(rig.a, rig.b, rig.options, () -> rig.now);
+                    rig.store = Store.openAcceptingLoss(rig.a, rig.b, rig.options, () -> rig.now, Progress.NONE);
                     Map<String, String> left = StoreRig.contents(rig.store);
                     rig.store.close();
                     rig.open();
@@ -200,7 +200,7 @@
         rig.a.bytes(Manifest.NAME)[20] ^= 1;
         rig.b.remove(Manifest.NAME);
         assertEquals(StoreFault.Kind.DAMAGED, assertThrows(StoreFault.class, rig::open).kind());
-        rig.store = Store.openAcceptingLoss(rig.a, rig.b, rig.options, () -> rig.now);
+        rig.store = Store.openAcceptingLoss(rig.a, rig.b, rig.options, () -> rig.now, Progress.NONE);
         rig.assertHoldsModel();
         rig.reopen();
         rig.assertHoldsModel();
