Add the operator's tools for the store: inspect, verify, dump, compact, repair

Need: an operator must see what a store holds, whether it is sound, and say what to do when a record is lost in both copies.

--- a/src/main/java/kelphollow/program/Main.java
+++ b/src/main/java/kelphollow/program/Main.java
@@ -24,6 +24,7 @@
         @SubCommand(name = "adapter", impl = AdapterCommand.class),
         @SubCommand(name = "train", impl = Train.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "store", impl = StoreCommand.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
@@ -45,7 +46,8 @@
         } catch (CmdLineException e) {
             err.println("kelphollow: " + e.getMessage());
             err.println("usage: java -jar kelphollow.jar serve [--config FILE] | adapter"
-                + " | check-config [--config FILE] | train --config FILE | version");
+                + " | check-config [--config FILE] | train --config FILE | version"
+                + " | store inspect|verify|dump|compact|repair (--config FILE | FOLDER FOLDER)");
             return USAGE;
         }
         try {
