--- a/src/main/java/kelphollow/ledger/Ledger.java
+++ b/src/main/java/kelphollow/ledger/Ledger.java
@@ -22,19 +22,21 @@
     private static final Logger LOG = Logger.getLogger(Ledger.class.getName());
     private static final String LIFE = "life";
     private static final byte[] EPOCH = Records.key("epoch");
+    /** So many lives at most may have passed since a backup was made. */
+    private static final long UNSEEN_LIVES = 1_000_000;
     private static final byte[] LOST = Records.key("lost");
 
     private final Store store;
     private final Executor loop;
     private final long epoch;
-    private final boolean intact;
+    private final long lostUpTo;
     private long refused;
 
-    private Ledger(Store store, Executor loop, long epoch, boolean intact) {
+    private Ledger(Store store, Executor loop, long epoch, long lostUpTo) {
         this.store = store;
         this.loop = loop;
         this.epoch = epoch;
-        this.intact = intact;
+        this.lostUpTo = lostUpTo;
     }
 
     /**
@@ -46,12 +48,20 @@
         byte[] last = store.get(LIFE, EPOCH);
         long epoch = last == null ? 1 : (long) Records.number(Records.fields(last), "n") + 1;
         commit(store, new Batch().put(LIFE, EPOCH, Records.value("n", epoch)));
-        return new Ledger(store, loop, epoch, store.get(LIFE, LOST) == null);
+        byte[] lost = store.get(LIFE, LOST);
+        return new Ledger(store, loop, epoch, lost == null ? 0 : (long) Records.number(Records.fields(lost), "epoch"));
     }
 
-    /** Notes that a loss was accepted: from now on what is not in the store proves nothing. */
+    /**
+     * Notes that records of the lives so far may be missing, because a loss was accepted or a backup restored: that
+     * something of theirs is not in the store proves nothing any more.
+     */
     public static void noteLoss(Store store, long at) throws IOException, StoreFault {
-        commit(store, new Batch().put(LIFE, LOST, Records.value("at", at)));
+        byte[] last = store.get(LIFE, EPOCH);
+        // The lost records may be those of the life's own number, and of lives that a backup does not know.
+        long epoch = (last == null ? 0 : (long) Records.number(Records.fields(last), "n")) + UNSEEN_LIVES;
+        commit(store, new Batch().put(LIFE, EPOCH, Records.value("n", epoch))
+            .put(LIFE, LOST, Records.value("at", at, "epoch", epoch)));
     }
 
     /** Writes and waits until it is synced; not for event loops. */
@@ -73,9 +83,9 @@
         return epoch;
     }
 
-    /** Whether nothing that was ever recorded here has been lost. */
-    public boolean isIntact() {
-        return intact;
+    /** The last life of which something may be missing here, 0 if there is none. */
+    public long lostUpTo() {
+        return lostUpTo;
     }
 
     public Store store() {
--- a/src/main/java/kelphollow/ledger/PartRecords.java
+++ b/src/main/java/kelphollow/ledger/PartRecords.java
@@ -17,7 +17,8 @@
 
     /** Hears what is recorded. */
     public interface Reader {
-        void upload(String upload);
+        /** All parts of this upload that went out are recorded since a life. */
+        void upload(String upload, long sinceEpoch);
 
         /** {@code size}, {@code md5} and {@code etag} are those of a stored part. */
         void part(String upload, int number, Fates.Found found, long epoch, long size, String md5, String etag);
@@ -31,7 +32,7 @@
 
     /** Reads all of it; before the loop serves. */
     public void read(Reader reader) throws IOException, StoreFault {
-        ledger.read(UPLOADS, (key, fields) -> reader.upload(key));
+        ledger.read(UPLOADS, (key, fields) -> reader.upload(key, (long) Records.number(fields, "epoch")));
         ledger.read(PARTS, (key, fields) -> {
             int hash = key.lastIndexOf('#');
             String etag = Records.word(fields, "etag");
--- a/src/main/java/kelphollow/program/StoreCommand.java
+++ b/src/main/java/kelphollow/program/StoreCommand.java
@@ -204,7 +204,7 @@
 
     /** {@code repair}: heals what is whole in one copy; on the operator's word gives up what is whole in neither. */
     public static final class Repair extends Tool {
-        @Option(name = "--accept-loss", usage = "give up what is damaged in both copies")
+        @Option(name = "--accept-loss", usage = "give up what is missing: damaged in both copies, or newer than a restored backup")
         private boolean acceptLoss;
 
         @Override int work(PrintStream out, Progress progress) throws IOException, StoreFault {
@@ -212,7 +212,7 @@
             try (Store store = acceptLoss ? Store.openAcceptingLoss(a, b, options.withInline(true),
                 System::currentTimeMillis, progress) : open(progress)) {
                 print(out, store.report());
-                if (store.report().isDamaged()) {
+                if (acceptLoss) {
                     Ledger.noteLoss(store, System.currentTimeMillis());
                 }
                 out.println("state=" + (store.report().isDamaged() ? "repaired_with_loss" : "sound") + " healed="
--- a/src/main/java/kelphollow/protocol/object/CompletionSending.java
+++ b/src/main/java/kelphollow/protocol/object/CompletionSending.java
@@ -33,7 +33,8 @@
     }
 
     void begin() {
-        completion = front.completions.find(Parts.upload(exchange.call()));
+        completion = front.completions.find(Parts.upload(exchange.call()), front.parts.isNew(exchange.call()),
+            front.startedAt);
         if (completion == null) {
             exchange.answer(S3Error.refused(1));
             return;
--- a/src/main/java/kelphollow/protocol/object/Completions.java
+++ b/src/main/java/kelphollow/protocol/object/Completions.java
@@ -96,11 +96,18 @@
         }
     }
 
-    /** The completion of an upload, or null when so many are under way that none can be remembered. */
-    Completion find(String upload) {
+    /**
+     * The completion of an upload, or null when so many are under way that none can be remembered.
+     *
+     * @param isNew whether it is known that none was sent yet; otherwise one may have been, at {@code lastAt} at the latest
+     */
+    Completion find(String upload, boolean isNew, double lastAt) {
         Completion c = all.get(upload);
         if (c == null && (all.size() < most || evict())) {
             c = new Completion(upload);
+            if (!isNew) {
+                c.unknown(lastAt);
+            }
             all.put(upload, c);
         }
         return c;
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -56,7 +56,7 @@
         this.parts = new Parts(options.parts(), settle, ledger == null ? null : ledger.parts());
         this.completions = new Completions(options.parts(), settle, ledger == null ? null : ledger.completions());
         if (ledger != null) {
-            Fates fates = new Fates(ledger.epoch(), startedAt, settle, ledger.isIntact());
+            Fates fates = new Fates(ledger.epoch(), startedAt, settle, ledger.lostUpTo());
             parts.restore(fates, startedAt);
             completions.restore(fates, startedAt);
         }
--- a/src/main/java/kelphollow/protocol/object/Parts.java
+++ b/src/main/java/kelphollow/protocol/object/Parts.java
@@ -137,8 +137,8 @@
     /** Takes over what the lives before have left, as far as there is room for it. */
     void restore(Fates fates, double now) throws IOException, StoreFault {
         records.read(new PartRecords.Reader() {
-            @Override public void upload(String upload) {
-                if (fates.of(Fates.Found.NOTHING, 0, true).kind() == Fate.Kind.NEVER_RAN) {
+            @Override public void upload(String upload, long sinceEpoch) {
+                if (fates.of(Fates.Found.NOTHING, sinceEpoch, true).kind() == Fate.Kind.NEVER_RAN) {
                     complete.add(upload);
                 }
             }
@@ -209,7 +209,7 @@
         return part;
     }
 
-    /** Whether a part that is not remembered is known never to have been sent. */
+    /** Whether what is not remembered of this call's upload is known never to have been sent. */
     boolean isNew(ObjectCall call) {
         return complete.contains(upload(call));
     }
--- a/src/main/java/kelphollow/recovery/Fates.java
+++ b/src/main/java/kelphollow/recovery/Fates.java
@@ -7,7 +7,7 @@
  * <p>The rules. A recorded outcome holds, of whichever life it is. An intent without one was out when its life ended;
  * its connection closed at the latest when that process died, before this one held the store, but what the node had
  * already been given may still be at work for as long as its class's deadline. Where nothing is recorded, only a
- * complete record proves anything: a record is complete for what was begun under it, unless the store lost something
+ * complete record proves anything: it is complete for what was begun under it, unless the store lost something since
  * or had forgotten it after its window.
  */
 public final class Fates {
@@ -16,30 +16,30 @@
 
     private final long epoch;
     private final double startedAt, settle;
-    private final boolean intact;
+    private final long lostUpTo;
 
     /**
      * @param epoch of this life; each start has a higher one
      * @param startedAt when this life began
      * @param settle for how long after the end of a life its last attempts may take effect: the class's deadline
-     * @param intact whether the store was found without loss; after an accepted loss silence proves nothing
+     * @param lostUpTo the last life of which the store may have lost something, 0 if there is none
      */
-    public Fates(long epoch, double startedAt, double settle, boolean intact) {
+    public Fates(long epoch, double startedAt, double settle, long lostUpTo) {
         this.epoch = epoch;
         this.startedAt = startedAt;
         this.settle = settle;
-        this.intact = intact;
+        this.lostUpTo = lostUpTo;
     }
 
     /**
-     * @param ofEpoch the life that wrote the record found
-     * @param complete whether everything of this kind that ever went out was recorded, and none of it forgotten
+     * @param ofEpoch the life that wrote the record found; if there is none, the life since which it would be there
+     * @param complete whether everything of this kind that went out since is recorded, and none of it forgotten
      */
     public Fate of(Found found, long ofEpoch, boolean complete) {
         return switch (found) {
             case OUTCOME -> Fate.RAN;
             case INTENT -> ofEpoch == epoch ? Fate.RUNNING : Fate.unknown(startedAt + settle);
-            case NOTHING -> complete && intact ? Fate.NEVER_RAN : Fate.unknown(startedAt + settle);
+            case NOTHING -> complete && ofEpoch > lostUpTo ? Fate.NEVER_RAN : Fate.unknown(startedAt + settle);
         };
     }
 
--- a/src/test/java/kelphollow/program/StandInServer.java
+++ b/src/test/java/kelphollow/program/StandInServer.java
@@ -44,6 +44,8 @@
     final ConcurrentLinkedDeque<Fault> faults = new ConcurrentLinkedDeque<>();
     /** Request lines with their Range and If-Match, as they come. */
     final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    /** Request lines that have come whole and are held. */
+    final BlockingQueue<String> held = new LinkedBlockingQueue<>();
     /** Runs before the connection of a cut answer ends. */
     volatile Runnable afterCut = () -> { };
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -118,6 +120,7 @@
                     return;
                 }
                 if (kind == Fault.Kind.HOLD) {
+                    held.add(line);
                     fault.gate.await();
                 }
                 int limit = kind == Fault.Kind.CUT ? fault.after : -1;
--- a/src/test/java/kelphollow/program/StoreRestartTest.java
+++ b/src/test/java/kelphollow/program/StoreRestartTest.java
@@ -124,8 +124,9 @@
         Fault hold = Fault.of("PUT", Kind.HOLD);
         server.faults.add(hold);
         client.send(part(id, 1), "", CONTENT);
-        server.seen.take();
+        server.held.take();
         kill();
+        server.seen.clear();
         assertEquals(503, client.call(part(id, 1), "", CONTENT).status(), "it may still be at work");
         assertEquals("GET", server.seen.take().substring(0, 3));
         hold.gate().countDown();
@@ -141,7 +142,8 @@
         Fault lost = Fault.of("PUT", Kind.HOLD);
         server.faults.add(lost);
         client.send(part(id, 1), "", CONTENT);
-        server.seen.take();
+        server.held.take();
+        server.seen.clear();
         kill();
         bench.ticker.advance(SETTLED);
         assertEquals(200, client.call(part(id, 1), "", CONTENT).status());
@@ -173,8 +175,9 @@
         Fault hold = Fault.of("POST", Kind.HOLD);
         server.faults.add(hold);
         client.send(line, "", LIST);
-        server.seen.take();
+        server.held.take();
         kill();
+        server.seen.clear();
         assertEquals(503, client.call(line, "", LIST).status(), "it may still be at work");
         hold.gate().countDown();
         server.seen.clear();
--- a/src/test/java/kelphollow/recovery/RecoveryTest.java
+++ b/src/test/java/kelphollow/recovery/RecoveryTest.java
@@ -9,12 +9,12 @@
 
 /** What is decided from what was found after a start. */
 class RecoveryTest {
-    private final Fates fates = new Fates(7, 1_000, 3_000, true);
+    private final Fates fates = new Fates(7, 1_000, 3_000, 0);
 
     @Test void aRecordedOutcomeHoldsOfWhicheverLife() {
         assertEquals(Fate.Kind.RAN, fates.of(Found.OUTCOME, 1, false).kind());
         assertEquals(Fate.Kind.RAN, fates.of(Found.OUTCOME, 7, true).kind());
-        assertEquals(Fate.Kind.RAN, new Fates(7, 1_000, 3_000, false).of(Found.OUTCOME, 3, false).kind());
+        assertEquals(Fate.Kind.RAN, new Fates(7, 1_000, 3_000, 6).of(Found.OUTCOME, 3, false).kind());
     }
 
     @Test void anIntentOfAnEarlierLifeIsUnknownUntilItsLastAttemptMustBeOver() {
@@ -26,9 +26,11 @@
     }
 
     @Test void silenceProvesSomethingOnlyOfACompleteRecordThatLostNothing() {
-        assertEquals(Fate.Kind.NEVER_RAN, fates.of(Found.NOTHING, 0, true).kind());
-        assertEquals(Fate.Kind.UNKNOWN, fates.of(Found.NOTHING, 0, false).kind());
-        assertEquals(Fate.Kind.UNKNOWN, new Fates(7, 1_000, 3_000, false).of(Found.NOTHING, 0, true).kind());
+        assertEquals(Fate.Kind.NEVER_RAN, fates.of(Found.NOTHING, 1, true).kind());
+        assertEquals(Fate.Kind.UNKNOWN, fates.of(Found.NOTHING, 1, false).kind());
+        Fates afterLoss = new Fates(7, 1_000, 3_000, 5);
+        assertEquals(Fate.Kind.UNKNOWN, afterLoss.of(Found.NOTHING, 5, true).kind());
+        assertEquals(Fate.Kind.NEVER_RAN, afterLoss.of(Found.NOTHING, 6, true).kind(), "begun after the loss");
     }
 
     @Test void aLimitGoesOnFromACleanEndAndStartsEmptyAfterACrash() {
--- a/src/test/java/kelphollow/store/EveryByteTest.java
+++ b/src/test/java/kelphollow/store/EveryByteTest.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,6 +16,10 @@
  * nothing that was removed may come back, and opening once more must change nothing.
  */
 class EveryByteTest {
+    /** How many bits of each byte are flipped, and how large the store is: more in the profile {@code campaign}. */
+    private static final int BITS = Integer.getInteger("kelphollow.bits", 2);
+    private static final int STEPS = Integer.getInteger("kelphollow.steps", 30);
+
     /** A store with every kind of record, several segments, hints, and a compaction behind it. */
     private static StoreRig sample(boolean closed, StoreOptions options, int steps) throws Exception {
         StoreRig rig = new StoreRig();
@@ -67,25 +72,31 @@
         }
     }
 
-    private static void damageAll(StoreRig sample, int bits, int every) {
+    private static void damageAll(StoreRig sample, int bits) {
+        AtomicLong openings = new AtomicLong();
         for (int side = 0; side < 2; side++) {
             int damaged = side;
             MemoryDisk from = side == 0 ? sample.a : sample.b;
             for (String name : from.names()) {
                 byte[] whole = from.bytes(name);
-                IntStream.rangeClosed(0, whole.length / every).parallel().forEach(i -> {
-                    int at = i * every;
+                IntStream.rangeClosed(0, whole.length).parallel().forEach(at -> {
                     with(sample, damaged, name, Arrays.copyOf(whole, Math.min(at, whole.length)), "cut at " + at);
                     for (int bit = 0; bit < 8 && at < whole.length; bit += 8 / bits) {
                         byte[] flipped = whole.clone();
                         flipped[at] ^= (byte) (1 << bit);
                         with(sample, damaged, name, flipped, "bit " + bit + " flipped at " + at);
+                        openings.incrementAndGet();
                     }
+                    openings.incrementAndGet();
                 });
                 with(sample, side, name, null, "gone");
                 with(sample, side, name, Arrays.copyOf(whole, whole.length + 700), "700 zeros behind");
             }
         }
+        if (STEPS > 30) {
+            System.out.println(openings + " damaged stores of " + sample.a.names().size() + " files in each folder, "
+                + bits + " bits of each byte: all recovered");
+        }
     }
 
     private static void with(StoreRig sample, int side, String name, byte[] bytes, String what) {
@@ -102,20 +113,20 @@
 
     @ParameterizedTest @ValueSource(booleans = {true, false})
     void nothingIsLostByDamageToOneFile(boolean closed) throws Exception {
-        StoreRig sample = sample(closed, StoreRig.SMALL, 30);
+        StoreRig sample = sample(closed, StoreRig.SMALL, STEPS);
         assertTrue(sample.a.names().stream().filter(n -> n.endsWith(".seg")).count() >= 3, sample.a.names().toString());
-        damageAll(sample, 2, 1);
+        damageAll(sample, BITS);
     }
 
     @Test void nothingIsLostByDamageToOneFileWhenOpeningReadsHints() throws Exception {
-        StoreRig sample = sample(false, StoreRig.SMALL.withCheckAll(false), 24);
+        StoreRig sample = sample(false, StoreRig.SMALL.withCheckAll(false), STEPS);
         assertTrue(sample.a.names().stream().anyMatch(n -> n.endsWith(".hint")), sample.a.names().toString());
-        damageAll(sample, 1, 1);
+        damageAll(sample, BITS / 2);
     }
 
     @Test void eachOfTheEightBitsIsHealed() throws Exception {
         StoreRig sample = sample(true, StoreRig.SMALL, 4);
-        damageAll(sample, 8, 1);
+        damageAll(sample, 8);
     }
 
     @Test void aWholeFolderIsMadeAnewFromTheOther() throws Exception {
