Read from a client of the object front only while something is wanted

Change: a read that was queued is made only if its want has not been met meanwhile. Otherwise, of two queued reads the first could take a head and the second its body, which nobody had asked for.

--- a/src/main/java/kelphollow/protocol/object/ObjectClient.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectClient.java
@@ -74,7 +74,14 @@
      */
     void readLater() {
         wanting = true;
-        channel.eventLoop().execute(channel::read);
+        channel.eventLoop().execute(this::readIfWanted);
+    }
+
+    /** Guards against a second read that was queued meanwhile: it would take a body that nobody has asked for yet. */
+    private void readIfWanted() {
+        if (wanting) {
+            channel.read();
+        }
     }
 
     private void begin(HttpRequest request) {
