Hand over a body of the object front only when it is wanted

Under load a client's head and body come in one read, and Netty's FlowControlHandler then handed both over for one read: with a store the body met a request that had not been sent yet (a null pointer, silently closing the connection), without one it was dropped and the part stood still. Besides, the tests of kills copied the folders while outcomes were still on their way to the writer, and an abort's record could be lost by a kill.

Change: ObjectClient keeps what a read brings beyond what was wanted and hands over one message for each want; FlowControlHandler and the queued reads go. A fault of ours on a client's connection breaks an Invariant. An abort is recorded, synced, before it goes out. Tests wait for the writer before they kill.

--- a/src/main/java/kelphollow/ledger/PartRecords.java
+++ b/src/main/java/kelphollow/ledger/PartRecords.java
@@ -69,9 +69,18 @@
 
     /** The upload is over; {@code parts} are the numbers that were recorded of it. */
     public void over(String upload, Iterable<Integer> parts) {
+        ledger.after(forgotten(upload, parts));
+    }
+
+    /** The same before an upload is aborted; hears when it is safe, so that no record outlives what it tells of. */
+    public void aborting(String upload, Iterable<Integer> parts, Consumer<StoreFault> then) {
+        ledger.before(forgotten(upload, parts), then);
+    }
+
+    private static Batch forgotten(String upload, Iterable<Integer> parts) {
         Batch batch = new Batch().remove(UPLOADS, Records.key(upload));
         parts.forEach(n -> batch.remove(PARTS, key(upload, n)));
-        ledger.after(batch);
+        return batch;
     }
 
     /** Not all of this upload's parts are in memory any more: of what is not there nothing is known. */
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -152,6 +152,11 @@
         return levels;
     }
 
+    /** What outlives this process, or null. */
+    Ledger ledger() {
+        return ledger;
+    }
+
     /** After everybody has left: what must outlive the end is written, and the folders are let go. */
     void end() {
         if (ledger != null) {
--- a/src/main/java/kelphollow/protocol/object/ObjectClient.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectClient.java
@@ -8,6 +8,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import kelphollow.routing.Invariant;
 
 /** One client's connection. It reads only when something is wanted, so that no body piles up. */
 final class ObjectClient extends ChannelInboundHandlerAdapter {
@@ -15,7 +18,9 @@
     final Channel channel;
     private ObjectExchange current;
     private HttpRequest next;
-    private boolean closing, wanting;
+    /** What a read has brought beyond what was wanted: at most what one read of the socket holds. */
+    private final ArrayDeque<Object> ahead = new ArrayDeque<>();
+    private boolean wanting, handingOver;
     private long messages;
     private double idleSince;
 
@@ -40,20 +45,53 @@
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
-        wanting = true;
-        channel.read();
+        want();
     }
 
     /** Guards against a head that comes in several segments: a read that made no message must go on. */
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (wanting) {
+        if (wanting && ahead.isEmpty()) {
             channel.read();
         }
     }
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
-        wanting = false;
-        messages++;
+        ahead.add(message);
+        handOver();
+    }
+
+    /** Asks for one more message; it may be asked for while another is being handed over. */
+    void want() {
+        wanting = true;
+        if (!handingOver) {
+            handOver();
+            if (wanting) {
+                channel.read();
+            }
+        }
+    }
+
+    /**
+     * Hands over what is wanted and no more. Guards against bodies that nobody has asked for yet: one read may bring a
+     * head and its body, and the body must wait until the node takes it.
+     */
+    private void handOver() {
+        if (handingOver) {
+            return;
+        }
+        handingOver = true;
+        try {
+            while (wanting && !ahead.isEmpty()) {
+                wanting = false;
+                messages++;
+                take(ahead.remove());
+            }
+        } finally {
+            handingOver = false;
+        }
+    }
+
+    private void take(Object message) {
         if (message instanceof HttpRequest request) {
             if (current != null) {
                 next = request;      // sent ahead; it waits its turn
@@ -64,23 +102,7 @@
             current.piece(content);
         } else {
             ReferenceCountUtil.release(message);
-            readLater();
-        }
-    }
-
-    /**
-     * Asks for one more message, after the one at hand. Guards against a read that is asked for while a message
-     * is being handed over: the flow control then loses it, and a part sent again stood still for good.
-     */
-    void readLater() {
-        wanting = true;
-        channel.eventLoop().execute(this::readIfWanted);
-    }
-
-    /** Guards against a second read that was queued meanwhile: it would take a body that nobody has asked for yet. */
-    private void readIfWanted() {
-        if (wanting) {
-            channel.read();
+            want();
         }
     }
 
@@ -99,13 +121,12 @@
         current = null;
         idleSince = front.ticker.now();
         if (!keep || !whole || front.leaving != null) {
-            closing = true;
             if (whole) {
                 written.addListener(ChannelFutureListener.CLOSE);
             } else {
                 // Closing with input unread resets the connection, and the answer may be lost with it: the
                 // client gets some time to see it and to close by itself.
-                readLater();
+                want();
                 front.ticker.after(front.options.stall() / 4, channel::close);
             }
             return;
@@ -115,7 +136,7 @@
         if (following != null) {
             begin(following);
         } else {
-            readLater();
+            want();
         }
     }
 
@@ -140,6 +161,8 @@
     }
 
     @Override public void channelInactive(ChannelHandlerContext ctx) {
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
         front.clients.remove(this);
         if (current != null) {
             current.gone();
@@ -150,5 +173,6 @@
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         ctx.close();
+        Invariant.holds(cause instanceof IOException, "a client's connection ends by a fault of ours: " + cause);
     }
 }
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -43,6 +43,7 @@
     private ByteArrayOutputStream document;
     private PartSending part;
     private CompletionSending completion;
+    private IntentWait intent;
     private boolean continued;
     private Ticker.Timeout stall;
 
@@ -94,9 +95,13 @@
             part.begin();
         } else {
             if (!call.op().hasBody()) {
-                client.readLater();       // the empty end of the request, and later the client's going away
+                client.want();       // the empty end of the request, and later the client's going away
+            }
+            if (call.op() == ObjectCall.Op.ABORT) {
+                abort();
+            } else {
+                send(null);
             }
-            send(null);
         }
     }
 
@@ -110,6 +115,11 @@
         }
     }
 
+    private void abort() {
+        intent = new IntentWait(front.ticker, front.options.write().deadline(), () -> send(null), this::answer);
+        front.parts.aborting(Parts.upload(call), intent::recorded);
+    }
+
     // ------------------------------------------------------------ the body
 
     @Override public void read() {
@@ -125,7 +135,7 @@
                 answer(new S3Error(400, "RequestTimeout", "Your body stood still for too long."));
             }
         });
-        client.readLater();
+        client.want();
     }
 
     void piece(HttpContent content) {
@@ -161,7 +171,7 @@
             content.release();
         }
         if (last && !over) {
-            client.readLater();           // so that the client's going away is seen
+            client.want();           // so that the client's going away is seen
         }
     }
 
@@ -306,6 +316,9 @@
 
     /** Nothing is owed to the client any more. */
     private void withdraw() {
+        if (intent != null) {
+            intent.callOff();
+        }
         if (routed != null) {
             front.core.gone(routed);
             routed = null;
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.flow.FlowControlHandler;
 import java.io.IOException;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -65,7 +64,7 @@
     @Override public void accept(Channel channel) {
         channel.config().setAutoRead(false);
         channel.pipeline().addLast(new HttpServerCodec(LARGEST_LINE, LARGEST_HEAD, LARGEST_PIECE),
-            new FlowControlHandler(), new ObjectClient(this, channel));
+            new ObjectClient(this, channel));
     }
 
     /** Guards usual clients against others that hold connections and ask for nothing: the longest idle one goes. */
--- a/src/main/java/kelphollow/protocol/object/Parts.java
+++ b/src/main/java/kelphollow/protocol/object/Parts.java
@@ -186,14 +186,33 @@
 
     /** An upload is over. */
     void over(String upload) {
-        complete.remove(upload);
-        List<Integer> gone = new ArrayList<>();
-        parts.values().removeIf(p -> p.upload.equals(upload) && p.state != State.BUSY && gone.add(p.number));
+        List<Integer> gone = forget(upload);
         if (records != null) {
             records.over(upload, gone);
         }
     }
 
+    /**
+     * An abort of the upload is about to go out; hears when that cannot be forgotten any more. From here on its parts
+     * are asked for: a record that outlived the upload would answer for parts that are gone.
+     */
+    void aborting(String upload, Consumer<StoreFault> then) {
+        List<Integer> gone = forget(upload);
+        if (records == null) {
+            then.accept(null);
+        } else {
+            records.aborting(upload, gone, then);
+        }
+    }
+
+    /** Gives the numbers of the parts that were remembered. */
+    private List<Integer> forget(String upload) {
+        complete.remove(upload);
+        List<Integer> gone = new ArrayList<>();
+        parts.values().removeIf(p -> p.upload.equals(upload) && p.state != State.BUSY && gone.add(p.number));
+        return gone;
+    }
+
     /** The part, or a new one that is {@link State#ASK} unless it cannot have been sent before; null when all are busy. */
     Part find(ObjectCall call, double now) {
         String upload = upload(call);
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -1,5 +1,7 @@
 package kelphollow.program;
 
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -12,11 +14,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import kelphollow.decision.ControlApi.NodeEntry;
 import kelphollow.decision.ControlApi.Phase;
 import kelphollow.protocol.discovery.Members;
 import kelphollow.protocol.json.Json;
 import kelphollow.routing.Member;
+import kelphollow.store.Batch;
+import kelphollow.store.Grade;
+import kelphollow.store.StoreFault;
 
 /** A scheduler under test on the loopback, with the example's settings and a clock that the test moves. */
 final class Bench implements AutoCloseable {
@@ -106,6 +112,13 @@
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    /** Returns when the store's writer has written all that it was given so far. */
+    void written() throws Exception {
+        CompletableFuture<StoreFault> done = new CompletableFuture<>();
+        scheduler.ledger().store().write(new Batch(), Grade.BUFFERED, Runnable::run, done::complete);
+        assertNull(done.get());
+    }
+
     /** As after SIGTERM, when all have left. */
     void end() {
         scheduler.end();
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -212,6 +212,14 @@
         assertEquals(Map.of(id + "#1", 1, id + "#2", 1, id + "#3", 1), server.partWrites);
     }
 
+    /** Guards against a body that was taken, and lost, before the node said that it may come. */
+    @Test void aBodyThatComesWithItsHeadWaitsUntilTheNodeTakesIt() throws Exception {
+        String id = begin("/symbols/m");
+        assertEquals(200, client.callAtOnce("PUT /symbols/m?partNumber=1&uploadId=" + id, CONTENT).status());
+        assertEquals(200, client.callAtOnce("PUT /symbols/m?partNumber=2&uploadId=" + id, CONTENT).status());
+        assertEquals(200, client.callAtOnce("PUT /symbols/n", CONTENT).status());
+    }
+
     @Test void thePartSentTwiceAtOnceIsStoredOnceAndBothGetTheAnswer() throws Exception {
         String id = begin("/symbols/m");
         Fault hold = Fault.of("PUT", Kind.HOLD);
--- a/src/test/java/kelphollow/program/StandInClient.java
+++ b/src/test/java/kelphollow/program/StandInClient.java
@@ -33,8 +33,21 @@
     }
 
     void head(String line, String headers, long length) throws IOException {
-        socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: h\r\n" + headers
-            + (length < 0 ? "" : "Content-Length: " + length + "\r\n") + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(bytes(line, headers, length));
+    }
+
+    private static byte[] bytes(String line, String headers, long length) {
+        return (line + " HTTP/1.1\r\nHost: h\r\n" + headers
+            + (length < 0 ? "" : "Content-Length: " + length + "\r\n") + "\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Head and body in one segment, as on a busy machine. */
+    Answer callAtOnce(String line, byte[] body) throws IOException {
+        ByteArrayOutputStream both = new ByteArrayOutputStream();
+        both.writeBytes(bytes(line, "", body.length));
+        both.writeBytes(body);
+        socket.getOutputStream().write(both.toByteArray());
+        return answer();
     }
 
     Answer call(String line, String headers, byte[] body) throws IOException {
--- a/src/test/java/kelphollow/program/StoreRestartTest.java
+++ b/src/test/java/kelphollow/program/StoreRestartTest.java
@@ -47,8 +47,14 @@
         client = new StandInClient(bench.address);
     }
 
-    /** What the system had been given stays, the process goes: the next life works on copies of the folders. */
+    /** A kill once the writer has written what it was given: outcomes are not waited for before an answer. */
     private void kill() throws Exception {
+        bench.written();
+        killNow();
+    }
+
+    /** What the system had been given stays, the process goes: the next life works on copies of the folders. */
+    private void killNow() throws Exception {
         client.close();
         for (String side : new String[] {"a", "b"}) {
             Path from = folder.resolve(lives + side), to = folder.resolve(lives + 1 + side);
@@ -109,6 +115,14 @@
         assertEquals(Map.of(id + "#1", 1), server.partWrites);
     }
 
+    /** Guards against a body that was handed over before the intent was safe, when head and body came in one read. */
+    @Test void aBodyThatComesWithItsHeadWaitsForTheRecord() throws Exception {
+        String id = upload();
+        assertEquals(200, client.callAtOnce(part(id, 1), CONTENT).status());
+        assertEquals(200, client.callAtOnce("POST /symbols/m?uploadId=" + id, LIST).status());
+        assertArrayEquals(CONTENT, server.objects.get("/symbols/m").bytes());
+    }
+
     /** The whole record of an upload proves that a part was never sent: it goes out at once, without a question. */
     @Test void aPartThatWasNeverSentGoesOutAtOnceAfterAKill() throws Exception {
         String id = upload();
@@ -204,8 +218,9 @@
     @Test void anAbortedUploadLeavesNothingBehind() throws Exception {
         String id = upload();
         client.call(part(id, 1), "", CONTENT);
+        bench.written();
         assertEquals(204, client.call("DELETE /symbols/m?uploadId=" + id, "", null).status());
-        kill();
+        killNow();
         assertEquals(404, client.call(part(id, 1), "", CONTENT).status());
     }
 
