Merge sorted hints at a store's opening, sync its copies side by side, scrub while it runs

Change: a hint holds its operations sorted by key, and one out of order is refused; an opening reads segments side by side (SegmentLook) and merges the hints by ranges of keys into whole leaves (IndexLoader), with no object for a key. The second copy is synced on a thread of its own. store.scrub_hours has the running program read and heal sealed segments and hints. Kills wait until the child has written; reads go through 256 KiB, since Java keeps a direct buffer as long as the longest read for each thread.

--- a/src/main/java/kelphollow/program/StoreConfig.java
+++ b/src/main/java/kelphollow/program/StoreConfig.java
@@ -23,6 +23,7 @@
  */
 record StoreConfig(Path first, Path second, StoreOptions options, double listExpires) {
     private static final Logger LOG = Logger.getLogger(StoreConfig.class.getName());
+    private static final long HOUR = 3_600_000;
     private static final double LIST_EXPIRES = 3_600_000;
 
     /** Null where the file has no such object: nothing is kept then. */
@@ -32,7 +33,7 @@
         }
         Map<?, ?> store = Config.object(json, "store");
         Config.known(store, "store.", "folders", "segment_bytes", "largest_batch", "queue_bytes",
-            "compact_bytes_per_second", "check_all", "list_expires_ms");
+            "compact_bytes_per_second", "scrub_hours", "check_all", "list_expires_ms");
         if (!(store.get("folders") instanceof List<?> folders) || folders.size() != 2) {
             throw new Config.Bad("store.folders must be a list of two folders");
         }
@@ -48,6 +49,7 @@
         StoreOptions options = new StoreOptions(whole(store, "segment_bytes", usual.segmentBytes(), 4096, 1 << 30),
             (int) largest, whole(store, "queue_bytes", Math.max(largest, usual.queueBytes()), largest, 1L << 40),
             usual.groupBytes(), whole(store, "compact_bytes_per_second", usual.compactBytesPerSecond(), 4096, 1L << 40),
+            whole(store, "scrub_hours", usual.scrubEvery() / HOUR, 0, 24 * 366) * HOUR,
             Boolean.TRUE.equals(store.get("check_all")), false);
         return new StoreConfig(first, second, options,
             Config.number(store, "store.", "list_expires_ms", LIST_EXPIRES, 0));
--- a/src/main/java/kelphollow/store/Compactor.java
+++ b/src/main/java/kelphollow/store/Compactor.java
@@ -23,11 +23,13 @@
     private final Pace pace;
     private final ReentrantLock busy = new ReentrantLock();
     private boolean closing;
+    private long scrubbedAt;
 
     Compactor(Store store, Writer writer, StoreOptions options) {
         this.store = store;
         this.writer = writer;
         this.options = options;
+        this.scrubbedAt = store.time();
         this.pace = options.inline() ? Pace.FREE : Pace.of(options.compactBytesPerSecond());
     }
 
@@ -74,7 +76,7 @@
     boolean turn() throws IOException, StoreFault {
         busy.lock();
         try {
-            return hint() || expire() || compact();
+            return hint() || expire() || compact() || scrubIfDue();
         } finally {
             busy.unlock();
         }
@@ -87,20 +89,19 @@
         writer.run(() -> manifest[0] = writer.manifest());
         for (Manifest.Entry entry : manifest[0].segments()) {
             if (entry.isSealed() && entry.hintLength() == 0 && entry.operations() > 0) {
-                SegmentMerge merge = whole(entry);
-                byte[] hint = writeHint(entry.id(), merge);
-                writer.run(() -> writer.hint(entry.id(), hint.length, Hint.crcOf(hint)));
+                Hint hint = writeHint(entry.id(), whole(entry));
+                writer.run(() -> writer.hint(entry.id(), hint.bytes().length, hint.crc()));
                 return true;
             }
         }
         return false;
     }
 
-    private byte[] writeHint(long segment, SegmentMerge merge) throws IOException {
-        byte[] hint = Hint.bytes(store.id(), segment, Opening.hints(merge, segment));
-        pace.take(2L * hint.length);
+    private Hint writeHint(long segment, SegmentMerge merge) throws IOException {
+        Hint hint = Hint.of(store.id(), merge, segment);
+        pace.take(2L * hint.bytes().length);
         for (Disk disk : store.disks()) {
-            WholeFile.write(disk, Format.hintName(segment), hint);
+            WholeFile.write(disk, Format.hintName(segment), hint.bytes());
             disk.syncFolder();
         }
         return hint;
@@ -220,8 +221,8 @@
                 if (!merge.damages().isEmpty()) {
                     throw new IOException(Format.segmentName(entry.id()) + " cannot be read back");
                 }
-                byte[] hint = writeHint(entry.id(), merge);
-                entries.add(entry.withHint(hint.length, Hint.crcOf(hint)));
+                Hint hint = writeHint(entry.id(), merge);
+                entries.add(entry.withHint(hint.bytes().length, hint.crc()));
                 current = null;
             }
         }
@@ -312,6 +313,17 @@
 
     // ---------------------------------------------------------------- scrubbing
 
+    /** Never says that there was work: what it does is not done again at once. */
+    private boolean scrubIfDue() throws IOException, StoreFault {
+        if (options.scrubEvery() > 0 && store.time() - scrubbedAt >= options.scrubEvery()) {
+            scrubbedAt = store.time();
+            Report report = new Report();
+            scrubAll(report);
+            report.lines().forEach(line -> store.warn("scrubbing " + line));
+        }
+        return false;
+    }
+
     /** Reads both copies of every sealed segment, and heals the one that is not whole from the other. */
     int scrub(Report report) throws IOException, StoreFault {
         busy.lock();
@@ -356,6 +368,20 @@
                 healed++;
             }
         }
+        return healed + (entry.hintLength() > 0 ? scrubHint(merge, entry, report) : 0);
+    }
+
+    private int scrubHint(SegmentMerge merge, Manifest.Entry entry, Report report) throws IOException {
+        Hint hint = Hint.of(store.id(), merge, entry.id());
+        String name = Format.hintName(entry.id());
+        int healed = 0;
+        for (Disk disk : store.disks()) {
+            if (WholeFile.read(disk, name, hint.bytes()) != hint.bytes()) {
+                WholeFile.replace(disk, name, name + Opening.HEAL, hint.bytes());
+                report.healed(disk.place() + "/" + name, "from " + Format.segmentName(entry.id()));
+                healed++;
+            }
+        }
         return healed;
     }
 }
--- a/src/main/java/kelphollow/store/FolderDisk.java
+++ b/src/main/java/kelphollow/store/FolderDisk.java
@@ -86,6 +86,7 @@
     }
 
     private static final class Channel implements File {
+        private static final int LARGEST_READ = 256 * 1024;
         private final FileChannel channel;
         private long end;
 
@@ -98,10 +99,14 @@
             return channel.size();
         }
 
+        /** Guards direct memory: Java reads through a direct buffer as long as the read, and keeps one for each thread. */
         @Override public void read(ByteBuffer into, long offset) throws IOException {
             long at = offset;
-            while (into.hasRemaining()) {
+            int end = into.limit();
+            while (into.position() < end) {
+                into.limit(Math.min(end, into.position() + LARGEST_READ));
                 int count = channel.read(into, at);
+                into.limit(end);
                 if (count < 0) {
                     return;
                 }
--- a/src/main/java/kelphollow/store/Format.java
+++ b/src/main/java/kelphollow/store/Format.java
@@ -146,6 +146,18 @@
         return (long) int32(b, at) << 32 | int32(b, at + 4) & 0xffffffffL;
     }
 
+    /** The bytes from..to as a number of eight, zeros behind a shorter stretch. */
+    static long prefix(byte[] b, int from, int to) {
+        if (to - from >= 8) {
+            return int64(b, from);
+        }
+        long prefix = 0;
+        for (int i = from; i < from + 8; i++) {
+            prefix = prefix << 8 | (i < to ? b[i] & 0xff : 0);
+        }
+        return prefix;
+    }
+
     static int int16(byte[] b, int at) {
         return (b[at] & 0xff) << 8 | b[at + 1] & 0xff;
     }
--- a/src/main/java/kelphollow/store/Hint.java
+++ b/src/main/java/kelphollow/store/Hint.java
@@ -1,71 +1,208 @@
 package kelphollow.store;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Arrays;
 
 /**
- * What a sealed segment holds, without the values: an opening reads it instead of the segment. The manifest holds its
- * length and checksum, so that a hint of another segment or of an older state is seen, whatever it says of itself.
+ * What a segment holds, without the values, in the order of its keys: an opening reads it instead of the segment and
+ * merges all of them into the index. The manifest holds its length and checksum, so that a hint of another segment or
+ * of an older state is seen, whatever it says of itself; one whose keys are out of order is refused like a damaged one.
+ *
+ * <p>Memory: the file's bytes, which are 32 a key and the key, and 4 bytes a key. Never changes.
  */
 final class Hint {
-    private static final int HEAD = 48, ENTRY = 32;
+    private static final int HEAD = 48;
+    /** An entry's length without its key; the key's length stands at 4, the sequence at 16. */
+    static final int ENTRY = 32;
 
-    private Hint() { }
+    private final long segment;
+    private final byte[] bytes;
+    /** Where each entry begins, in the order of the keys; of one key the latest operation first. */
+    private final int[] at;
+    private long lastSequence, removals;
 
-    /** One operation of the segment. */
-    record Entry(byte kind, byte[] key, Index.Place place) { }
+    private Hint(long segment, byte[] bytes, int[] at) {
+        this.segment = segment;
+        this.bytes = bytes;
+        this.at = at;
+        for (int i = 0; i < at.length; i++) {
+            lastSequence = Math.max(lastSequence, sequence(i));
+            removals += kind(i) == Format.REMOVE ? length(i) : 0;
+        }
+    }
 
-    static byte[] bytes(StoreId store, long segment, List<Entry> entries) {
-        int size = HEAD + 4;
-        for (Entry e : entries) {
-            size += ENTRY + e.key.length;
+    /** The hint of a segment that has been read. */
+    static Hint of(StoreId store, SegmentMerge merge, long segment) {
+        Log log = new Log();
+        for (SegmentMerge.Frame frame : merge.frames()) {
+            SegmentMerge.ops(merge.image(), frame, log::add);
         }
-        ByteBuffer b = ByteBuffer.allocate(size);
-        b.put(Format.HINT_MAGIC).putInt(Format.VERSION).putInt(entries.size());
+        byte[] entries = log.bytes.array();
+        int[] sorted = EntrySort.sorted(entries, log.at, log.count);
+        ByteBuffer b = ByteBuffer.allocate(HEAD + log.bytes.position() + 4);
+        b.put(Format.HINT_MAGIC).putInt(Format.VERSION).putInt(log.count);
         b.putLong(store.high()).putLong(store.low()).putLong(segment).putLong(0);
-        for (Entry e : entries) {
-            b.put(e.kind).put((byte) 0).putShort((short) 0).putInt(e.key.length);
-            b.putInt(e.place.offset()).putInt(e.place.length());
-            b.putLong(e.place.sequence()).putLong(e.place.expires()).put(e.key);
+        for (int i = 0; i < log.count; i++) {
+            int at = sorted[i];
+            sorted[i] = b.position();
+            b.put(entries, at, ENTRY + Format.int32(entries, at + 4));
         }
         b.putInt(Format.crc(b.array(), 0, b.position()));
-        return b.array();
+        return new Hint(segment, b.array(), sorted);
     }
 
-    /** Reads a hint, or null if it is not the one that the manifest means. */
-    static List<Entry> read(byte[] bytes, StoreId store, Manifest.Entry of) {
-        if (of.hintLength() == 0 || bytes.length != of.hintLength() || bytes.length < HEAD + 4) {
-            return null;
+    /** The entries in the order of the segment: read in one pass over it, which a sorted one would jump about in. */
+    private static final class Log {
+        private ByteBuffer bytes = ByteBuffer.allocate(64 * 1024);
+        private int[] at = new int[1024];
+        private int count;
+
+        void add(Format.Op op) {
+            if (bytes.remaining() < ENTRY + op.keyLength()) {
+                bytes = ByteBuffer.allocate(2 * bytes.capacity() + ENTRY + op.keyLength()).put(bytes.flip());
+            }
+            if (count == at.length) {
+                at = Arrays.copyOf(at, 2 * count);
+            }
+            at[count++] = bytes.position();
+            bytes.put(op.kind()).put((byte) 0).putShort((short) 0).putInt(op.keyLength());
+            bytes.putInt(op.at()).putInt(op.length()).putLong(op.sequence()).putLong(op.expires());
+            bytes.put(op.bytes(), op.keyAt(), op.keyLength());
         }
-        ByteBuffer b = ByteBuffer.wrap(bytes);
-        if (Format.start(bytes, Format.HINT_MAGIC, store, bytes.length) != Format.Start.SOUND
-            || b.getInt(bytes.length - 4) != of.hintCrc() || b.getLong(32) != of.id()
-            || b.getInt(12) != of.operations()) {
+    }
+
+    /** Reads a hint, or null if it is not the one that the manifest means. */
+    static Hint read(byte[] bytes, StoreId store, Manifest.Entry of) {
+        if (of.hintLength() == 0 || bytes.length != of.hintLength() || bytes.length < HEAD + 4
+            || Format.start(bytes, Format.HINT_MAGIC, store, bytes.length) != Format.Start.SOUND
+            || Format.int32(bytes, bytes.length - 4) != of.hintCrc() || Format.int64(bytes, 32) != of.id()
+            || Format.int32(bytes, 12) != of.operations()) {
             return null;
         }
-        int count = b.getInt(12), end = bytes.length - 4;
-        b.position(HEAD);
-        List<Entry> entries = new ArrayList<>(count);
+        int count = of.operations(), end = bytes.length - 4, next = HEAD;
+        int[] at = new int[count];
         for (int i = 0; i < count; i++) {
-            if (end - b.position() < ENTRY) {
+            if (end - next < ENTRY) {
                 return null;
             }
-            byte kind = b.get();
-            b.position(b.position() + 3);
-            int keyLength = b.getInt(), offset = b.getInt(), length = b.getInt();
-            long sequence = b.getLong(), expires = b.getLong();
-            if (keyLength < 2 || keyLength > end - b.position()) {
+            at[i] = next;
+            int keyLength = Format.int32(bytes, next + 4);
+            if (keyLength < 2 || keyLength > end - next - ENTRY) {
                 return null;
             }
-            byte[] key = new byte[keyLength];
-            b.get(key);
-            entries.add(new Entry(kind, key, new Index.Place((int) of.id(), offset, length, sequence, expires)));
+            next += ENTRY + keyLength;
+        }
+        Hint hint = new Hint(of.id(), bytes, at);
+        return next == end && hint.isSorted() ? hint : null;
+    }
+
+    private boolean isSorted() {
+        for (int i = 1; i < at.length; i++) {
+            int c = compare(i - 1, this, i);
+            if (c > 0 || c == 0 && sequence(i - 1) <= sequence(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    byte[] bytes() {
+        return bytes;
+    }
+
+    int crc() {
+        return Format.int32(bytes, bytes.length - 4);
+    }
+
+    long segment() {
+        return segment;
+    }
+
+    /** How many operations. */
+    int count() {
+        return at.length;
+    }
+
+    long lastSequence() {
+        return lastSequence;
+    }
+
+    /** Bytes of the segment that are removals. */
+    long removals() {
+        return removals;
+    }
+
+    // ---------------------------------------------------------------- one operation, by its place in the order
+
+    byte kind(int i) {
+        return bytes[at[i]];
+    }
+
+    /** The offset of the operation in its segment. */
+    int offset(int i) {
+        return Format.int32(bytes, at[i] + 8);
+    }
+
+    /** The length of the operation in its segment. */
+    int length(int i) {
+        return Format.int32(bytes, at[i] + 12);
+    }
+
+    long sequence(int i) {
+        return Format.int64(bytes, at[i] + 16);
+    }
+
+    long expires(int i) {
+        return Format.int64(bytes, at[i] + 24);
+    }
+
+    private int keyAt(int i) {
+        return at[i] + ENTRY;
+    }
+
+    private int keyEnd(int i) {
+        return keyAt(i) + Format.int32(bytes, at[i] + 4);
+    }
+
+    byte[] key(int i) {
+        return Arrays.copyOfRange(bytes, keyAt(i), keyEnd(i));
+    }
+
+    /**
+     * Eight bytes of the key behind the first few, as a number, zeros behind a shorter one: unsigned, it orders keys that
+     * begin alike unless it is equal.
+     */
+    long prefix(int i, int skip) {
+        return Format.prefix(bytes, keyAt(i) + skip, keyEnd(i));
+    }
+
+    /** How many bytes two keys begin with alike. */
+    int common(int i, Hint other, int j) {
+        int length = Math.min(keyEnd(i) - keyAt(i), other.keyEnd(j) - other.keyAt(j));
+        int differ = Arrays.mismatch(bytes, keyAt(i), keyAt(i) + length, other.bytes, other.keyAt(j),
+            other.keyAt(j) + length);
+        return differ < 0 ? length : differ;
+    }
+
+    int compare(int i, Hint other, int j) {
+        return Arrays.compareUnsigned(bytes, keyAt(i), keyEnd(i), other.bytes, other.keyAt(j), other.keyEnd(j));
+    }
+
+    /** The first place whose key is this one or a later one. */
+    int lowerBound(byte[] key) {
+        int low = 0, high = at.length;
+        while (low < high) {
+            int mid = low + high >>> 1;
+            if (Arrays.compareUnsigned(bytes, keyAt(mid), keyEnd(mid), key, 0, key.length) < 0) {
+                low = mid + 1;
+            } else {
+                high = mid;
+            }
         }
-        return b.position() == end ? entries : null;
+        return low;
     }
 
-    static int crcOf(byte[] hint) {
-        return ByteBuffer.wrap(hint).getInt(hint.length - 4);
+    void addTo(Index.Run run, int i) {
+        run.add(bytes, keyAt(i), keyEnd(i), (int) segment, offset(i), length(i), sequence(i), expires(i));
     }
 }
--- a/src/main/java/kelphollow/store/Index.java
+++ b/src/main/java/kelphollow/store/Index.java
@@ -148,23 +148,48 @@
         this.size = size;
     }
 
-    /** An index of these keys, which must be sorted and differ. */
-    static Index of(List<Hint.Entry> sorted) {
-        int fill = LEAF * 3 / 4;         // room for keys to come between them
-        Leaf[] all = new Leaf[(sorted.size() + fill - 1) / fill];
-        for (int l = 0; l < all.length; l++) {
-            List<Hint.Entry> part = sorted.subList(l * fill, Math.min(sorted.size(), (l + 1) * fill));
-            Leaf leaf = new Leaf(all, part.size(), part.stream().mapToInt(e -> e.key().length).sum());
-            int end = 0;
-            for (Hint.Entry e : part) {
-                System.arraycopy(e.key(), 0, leaf.keys, end, e.key().length);
-                end += e.key().length;
-                leaf.ends[leaf.count] = end;
-                leaf.set(leaf.count++, e.place());
+    /** An index of these runs, whose keys must follow each other. */
+    static Index of(List<Run> runs) {
+        Leaf[] all = runs.stream().flatMap(r -> r.leaves.stream()).toArray(Leaf[]::new);
+        return new Index(all, runs.stream().mapToInt(r -> r.size).sum());
+    }
+
+    /** Whole leaves of keys that come in order and differ. One thread; of no use after {@link #end} but for {@link #of}. */
+    static final class Run {
+        private static final int FILL = LEAF * 3 / 4;         // room for keys to come between them
+        private final List<Leaf> leaves = new ArrayList<>();
+        private Leaf leaf;
+        private int keyEnd, size;
+
+        void add(byte[] from, int keyAt, int keyTo, int segment, int offset, int length, long sequence, long expires) {
+            int keyLength = keyTo - keyAt;
+            if (leaf == null || leaf.count == FILL) {
+                end();
+                leaf = new Leaf(leaves, FILL, Math.max(keyLength, 1) * FILL);
+            }
+            if (leaf.keys.length - keyEnd < keyLength) {
+                leaf.keys = Arrays.copyOf(leaf.keys, keyEnd + Math.max(keyLength, keyEnd / 2));
+            }
+            System.arraycopy(from, keyAt, leaf.keys, keyEnd, keyLength);
+            keyEnd += keyLength;
+            int i = leaf.count++;
+            leaf.ends[i] = keyEnd;
+            leaf.segments[i] = segment;
+            leaf.offsets[i] = offset;
+            leaf.lengths[i] = length;
+            leaf.sequences[i] = sequence;
+            leaf.expires[i] = expires;
+            size++;
+        }
+
+        /** Ends the leaf at hand: it keeps no more room than it needs. */
+        void end() {
+            if (leaf != null) {
+                leaves.add(leaf.count == FILL && keyEnd == leaf.keys.length ? leaf : leaf.copy(leaves, 0, leaf.count, 0, 0));
             }
-            all[l] = leaf;
+            leaf = null;
+            keyEnd = 0;
         }
-        return new Index(all, sorted.size());
     }
 
     int size() {
--- a/src/main/java/kelphollow/store/Opening.java
+++ b/src/main/java/kelphollow/store/Opening.java
@@ -226,14 +226,17 @@
     private void segments() throws IOException, StoreFault {
         List<Manifest.Entry> entries = new ArrayList<>();
         boolean changed = false;
-        int done = 0;
-        for (Manifest.Entry entry : manifest.segments()) {
-            Manifest.Entry after = segment(entry);
-            progress.at(++done, manifest.segments().size());
-            if (after != null) {
-                entries.add(after);
+        List<Manifest.Entry> all = manifest.segments();
+        for (int from = 0; from < all.size(); ) {
+            List<SegmentLook> looks = SegmentLook.several(disks, manifest.store(), all, from, !options.checkAll());
+            for (SegmentLook look : looks) {
+                Manifest.Entry after = segment(look);
+                progress.at(++from, all.size());
+                if (after != null) {
+                    entries.add(after);
+                }
+                changed |= !look.entry().equals(after);
             }
-            changed |= !entry.equals(after);
         }
         if (changed && mayChange() && (loss == Loss.ACCEPT || !report.isDamaged())) {
             long next = Math.max(manifest.nextSegment(), entries.stream().mapToLong(e -> e.id() + 1).max().orElse(0));
@@ -244,20 +247,15 @@
     }
 
     /** Takes one segment into the index; gives its entry as it is from now on, or null if nothing of it is left. */
-    private Manifest.Entry segment(Manifest.Entry entry) throws IOException, StoreFault {
-        if (entry.isSealed() && !options.checkAll() && byHint(entry)) {
+    private Manifest.Entry segment(SegmentLook look) throws IOException, StoreFault {
+        Manifest.Entry entry = look.entry();
+        if (look.isByHint() && byHint(entry, look.hint(), look.hintIsWhole())) {
             return entry;
         }
+        look.readBoth(disks, manifest.store());
         String name = Format.segmentName(entry.id());
-        byte[] a = WholeFile.read(disks[0], name), b = WholeFile.read(disks[1], name);
-        for (int i = 0; i < 2; i++) {
-            if (Format.start(i == 0 ? a : b, Format.SEGMENT_MAGIC, null, Format.SEGMENT_HEADER)
-                == Format.Start.OTHER_VERSION) {
-                throw new StoreFault(StoreFault.Kind.VERSION, path(disks[i], name) + " has a format version other than "
-                    + Format.VERSION);
-            }
-        }
-        SegmentMerge merge = new SegmentMerge(a, b, manifest.store(), entry);
+        byte[] a = look.a(), b = look.b();
+        SegmentMerge merge = look.merge();
         boolean whole = merge.damages().isEmpty() && merge.image().length >= Format.SEGMENT_HEADER;
         for (SegmentMerge.Damage d : merge.damages()) {
             report.damaged(path(disks[0], name), d.at(), d.sequence(), "to offset " + d.end()
@@ -271,7 +269,9 @@
         time = Math.max(time, merge.time());
         if (!mayChange()) {
             tell(merge, a, b, name);
-            sizes.put(entry.id(), new int[] {merge.image().length, operations(merge, entry.id())});
+            names(merge);
+            take(look.hint());
+            sizes.put(entry.id(), new int[] {merge.image().length, look.hint().count()});
             return entry;
         }
         if (!whole && loss == Loss.REFUSE) {
@@ -281,14 +281,14 @@
             return writeAnew(merge, entry);
         }
         heal(merge, a, b, name);
-        int count = operations(merge, entry.id());
-        Segment segment = Segment.open(disks, entry, merge.image().length, count);
+        take(look.hint());
+        Segment segment = Segment.open(disks, entry, merge.image().length, look.hint().count());
         segments.put(entry.id(), segment);
         if (!entry.isSealed()) {
             active = segment;
             return entry;
         }
-        return hint(segment, merge, entry.withHint(0, 0), entry);
+        return hint(segment, look.hint(), entry.withHint(0, 0), entry);
     }
 
     private void tell(SegmentMerge merge, byte[] a, byte[] b, String name) {
@@ -312,23 +312,7 @@
     }
 
     /** Sealed segments are known by their hint and their size; what is in them is checked as it is read, and by scrubbing. */
-    private boolean byHint(Manifest.Entry entry) throws IOException {
-        List<Hint.Entry> entries = null;
-        String name = Format.hintName(entry.id());
-        byte[] good = null;
-        boolean[] bad = new boolean[disks.length];
-        for (int i = 0; i < disks.length; i++) {
-            byte[] bytes = entry.hintLength() == 0 ? new byte[0] : WholeFile.read(disks[i], name);
-            List<Hint.Entry> read = entries == null ? Hint.read(bytes, manifest.store(), entry) : null;
-            if (read != null) {
-                entries = read;
-                good = bytes;
-            }
-            bad[i] = good == null || !java.util.Arrays.equals(bytes, good);
-        }
-        if (entries == null) {
-            return false;
-        }
+    private boolean byHint(Manifest.Entry entry, Hint hint, boolean[] whole) throws IOException {
         for (Disk disk : disks) {
             if (!disk.has(Format.segmentName(entry.id()))) {
                 return false;
@@ -341,30 +325,31 @@
             return false;
         }
         segments.put(entry.id(), segment);
+        String name = Format.hintName(entry.id());
         for (int i = 0; i < disks.length; i++) {
-            if (bad[i]) {
-                WholeFile.replace(disks[i], name, name + HEAL, good);
+            if (!whole[i]) {
+                WholeFile.replace(disks[i], name, name + HEAL, hint.bytes());
                 report.healed(path(disks[i], name), "hint");
             }
         }
-        for (Hint.Entry e : entries) {
-            loader.add(e);
-            lastSequence = Math.max(lastSequence, e.place().sequence());
-        }
+        take(hint);
         return true;
     }
 
+    private void take(Hint hint) {
+        loader.add(hint);
+        lastSequence = Math.max(lastSequence, hint.lastSequence());
+    }
+
     /** Both folders get the hint that the manifest will name. */
-    private Manifest.Entry hint(Segment segment, SegmentMerge merge, Manifest.Entry entry, Manifest.Entry before)
+    private Manifest.Entry hint(Segment segment, Hint hint, Manifest.Entry entry, Manifest.Entry before)
         throws IOException {
-        List<Hint.Entry> entries = hints(merge, segment.id());
-        byte[] hint = Hint.bytes(manifest.store(), segment.id(), entries);
-        Manifest.Entry after = new Manifest.Entry(entry.id(), segment.length(), entry.firstSequence(), entries.size(),
-            hint.length, Hint.crcOf(hint));
+        Manifest.Entry after = new Manifest.Entry(entry.id(), segment.length(), entry.firstSequence(), hint.count(),
+            hint.bytes().length, hint.crc());
         String name = Format.hintName(entry.id());
         for (Disk disk : disks) {
-            if (!java.util.Arrays.equals(hint, WholeFile.read(disk, name))) {
-                WholeFile.replace(disk, name, name + HEAL, hint);
+            if (!java.util.Arrays.equals(hint.bytes(), WholeFile.read(disk, name))) {
+                WholeFile.replace(disk, name, name + HEAL, hint.bytes());
                 if (after.equals(before)) {
                     report.healed(path(disk, name), "hint");
                 }
@@ -373,30 +358,16 @@
         return after;
     }
 
-    static List<Hint.Entry> hints(SegmentMerge merge, long segment) {
-        List<Hint.Entry> entries = new ArrayList<>();
-        for (SegmentMerge.Frame frame : merge.frames()) {
-            SegmentMerge.ops(merge.image(), frame, op -> entries.add(new Hint.Entry(op.kind(), op.key(),
-                new Index.Place((int) segment, op.at(), op.length(), op.sequence(), op.expires()))));
-        }
-        return entries;
-    }
-
-    /** Takes all operations of a segment into the index and counts them. */
-    private int operations(SegmentMerge merge, long segment) {
-        int[] count = new int[1];
+    /** Remembers the names of tables that were given in this segment. */
+    private void names(SegmentMerge merge) {
         for (SegmentMerge.Frame frame : merge.frames()) {
             SegmentMerge.ops(merge.image(), frame, op -> {
-                count[0]++;
-                lastSequence = Math.max(lastSequence, op.sequence());
                 byte[] key = op.key();
                 if (op.kind() == Format.PUT && Tables.isName(key) && op.valueLength() == 2) {
                     names.put(Format.int16(op.value(), 0), Tables.textOf(key));
                 }
-                loader.add(op.kind(), key, new Index.Place((int) segment, op.at(), op.length(), op.sequence(), op.expires()));
             });
         }
-        return count[0];
     }
 
     /**
@@ -418,27 +389,27 @@
         for (SegmentMerge.Frame frame : merge.frames()) {
             if (frame.type() != Format.MARK) {
                 int[] ops = new int[1];
-                SegmentMerge.ops(merge.image(), frame, op -> {
-                    ops[0]++;
-                    lastSequence = Math.max(lastSequence, op.sequence());
-                    loader.add(op.kind(), op.key(), new Index.Place((int) id,
-                        (int) segment.length() + op.at() - frame.at(), op.length(), op.sequence(), op.expires()));
-                });
+                SegmentMerge.ops(merge.image(), frame, op -> ops[0]++);
                 out.clear();
                 out.copy(merge.image(), frame, id, segment.length());
                 segment.append(out.bytes(), ops[0]);
             }
         }
+        Hint before = Hint.of(manifest.store(), merge, entry.id());
+        lastSequence = Math.max(lastSequence, before.lastSequence());
         out.clear();
         out.mark(lastSequence, Math.max(now, manifest.time()), true, id, segment.length());
         segment.append(out.bytes(), 0);
         segment.sync();
+        Manifest.Entry after = entry.isSealed() ? segment.sealed() : segment.active();
+        Hint hint = Hint.of(manifest.store(),
+            new SegmentMerge(segment.copy(0), segment.copy(1), manifest.store(), after), id);
+        take(hint);
         if (!entry.isSealed()) {
             active = segment;
-            return segment.active();
+            return after;
         }
-        SegmentMerge again = new SegmentMerge(segment.copy(0), segment.copy(1), manifest.store(), segment.sealed());
-        return hint(segment, again, segment.sealed(), null);
+        return hint(segment, hint, after, null);
     }
 
     private long reserved;
--- a/src/main/java/kelphollow/store/Segment.java
+++ b/src/main/java/kelphollow/store/Segment.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Future;
 
 /**
  * One segment, open in both folders: two files with the same bytes. Reads come from any thread; appending and syncing
@@ -117,6 +120,31 @@
         }
     }
 
+    /** The same side by side: the second copy on the executor, the first here. Both have ended when this returns. */
+    void sync(ExecutorService second) throws IOException {
+        Future<Void> other = second.submit(() -> {
+            files[1].sync();
+            return null;
+        });
+        IOException failed = null;
+        try {
+            files[0].sync();
+        } catch (IOException e) {
+            failed = e;
+        }
+        try {
+            other.get();
+        } catch (ExecutionException e) {
+            failed = failed == null && e.getCause() instanceof IOException io ? io : new IOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            failed = new IOException("interrupted while the second copy was synced");
+        }
+        if (failed != null) {
+            throw failed;
+        }
+    }
+
     /** Reads an operation from the first copy in which it is whole; null if it is in neither. */
     Format.Op read(byte[] key, Index.Place place) throws IOException {
         IOException failed = null;
--- a/src/main/java/kelphollow/store/Store.java
+++ b/src/main/java/kelphollow/store/Store.java
@@ -253,7 +253,7 @@
     }
 
     /** A clock that goes back is taken for standing still. */
-    private long time() {
+    long time() {
         return latest.accumulateAndGet(clock.getAsLong(), Math::max);
     }
 
--- a/src/main/java/kelphollow/store/WholeFile.java
+++ b/src/main/java/kelphollow/store/WholeFile.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 /** Writing of whole files so that they are there entirely or not at all. */
 final class WholeFile {
+    private static final int PIECE = 256 * 1024;
+
     private WholeFile() { }
 
     /** Writes a new file and makes it safe; one of that name left by a crash is replaced. */
@@ -32,4 +35,30 @@
             return Disk.all(file);
         }
     }
+
+    /** The same, but gives {@code like} itself where the file holds just that: two equal copies need room for one. */
+    static byte[] read(Disk disk, String name, byte[] like) throws IOException {
+        if (!disk.has(name)) {
+            return new byte[0];
+        }
+        try (Disk.File file = disk.open(name)) {
+            return isSame(file, like) ? like : Disk.all(file);
+        }
+    }
+
+    private static boolean isSame(Disk.File file, byte[] like) throws IOException {
+        if (file.size() != like.length) {
+            return false;
+        }
+        ByteBuffer piece = ByteBuffer.allocate(Math.min(like.length, PIECE));
+        for (int at = 0; at < like.length; at += piece.position()) {
+            piece.clear().limit(Math.min(PIECE, like.length - at));
+            file.read(piece, at);
+            int end = at + piece.position();
+            if (piece.hasRemaining() || !Arrays.equals(piece.array(), 0, piece.position(), like, at, end)) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/src/main/java/kelphollow/store/Writer.java
+++ b/src/main/java/kelphollow/store/Writer.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
@@ -40,6 +42,8 @@
     private final Condition work = lock.newCondition();
     private final ArrayDeque<Write> queue = new ArrayDeque<>();
     private final ArrayDeque<Done> tasks = new ArrayDeque<>();
+    /** Where the second copy is synced, on a thread of its own; null where all is done in the caller's thread. */
+    private final ExecutorService second;
     private long queued;
     private boolean closing, closed;
     private StoreFault fault;
@@ -61,6 +65,11 @@
     Writer(Store store, Opening.State state, Tables tables, Space space, StoreOptions options, LongSupplier clock) {
         this.store = store;
         this.options = options;
+        this.second = options.inline() ? null : Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "store-second");
+            thread.setDaemon(true);
+            return thread;
+        });
         this.clock = clock;
         this.tables = tables;
         this.space = space;
@@ -427,7 +436,11 @@
     }
 
     private void sync() throws IOException {
-        active.sync();
+        if (second == null) {
+            active.sync();
+        } else {
+            active.sync(second);
+        }
         syncs++;
         unsynced = false;
         safeTo = sequence;
@@ -492,6 +505,9 @@
                 fail(e);
             }
         }
+        if (second != null) {
+            second.shutdown();
+        }
         lock.lock();
         try {
             closed = true;
--- a/src/test/java/kelphollow/program/StoreRestartTest.java
+++ b/src/test/java/kelphollow/program/StoreRestartTest.java
@@ -241,6 +241,7 @@
             {Map.of("folders", List.of(a, 7.0)), "store.folders[1] is not a text"},
             {Map.of("folders", List.of(a, a + "b"), "segment_bytes", 1.0), "store.segment_bytes"},
             {Map.of("folders", List.of(a, a + "b"), "segmentbytes", 1.0), "store.segmentbytes is not known"},
+            {Map.of("folders", List.of(a, a + "b"), "scrub_hours", -1.0), "store.scrub_hours"},
             {Map.of("folders", List.of(a, a + "b"), "check_all", "yes"), "store.check_all"},
             {Map.of("folders", List.of(a, folder.resolve("file").toString())), "store.folders: "},
             {Map.of("folders", List.of(a, folder.resolve("full").toString())), "store.folders: "}};
--- a/src/test/java/kelphollow/store/KillTest.java
+++ b/src/test/java/kelphollow/store/KillTest.java
@@ -53,7 +53,7 @@
         }
         long sum = java.util.Arrays.stream(acknowledged).sum();
         System.out.println(KILLS / LANES * LANES + " kills, " + sum + " writes acknowledged, none lost, none invented");
-        assertTrue(sum > KILLS, "the writers came to write: " + sum);
+        assertTrue(sum > 10 * KILLS, "the writers came to write: " + sum);
     }
 
     private long lane(int lane, int kills) throws Exception {
@@ -66,7 +66,12 @@
                 "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 KillChild.class.getName(), a.toString(), b.toString(), Integer.toString(life))
                 .redirectOutput(said.toFile()).redirectError(ProcessBuilder.Redirect.DISCARD).start();
-            TimeUnit.MILLISECONDS.sleep(40 + random.nextInt(900));   // in the middle of starting, too
+            // One life in five is killed while it starts and recovers, the others once they have written so much.
+            if (random.nextInt(5) == 0) {
+                TimeUnit.MILLISECONDS.sleep(40 + random.nextInt(500));
+            } else {
+                awaitBytes(said, 1 + random.nextInt(12_000), child);
+            }
             child.destroyForcibly().waitFor();
             String all = Files.readString(said);
             for (String line : all.substring(0, all.lastIndexOf('\n') + 1).lines().toList()) {
@@ -85,6 +90,15 @@
         return acknowledged;
     }
 
+    /** Waits until the child has said so many bytes; half a minute at most, so that a child that hangs is seen. */
+    private static void awaitBytes(Path said, long bytes, Process child) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (Files.size(said) < bytes && child.isAlive() && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertTrue(Files.size(said) >= bytes && child.isAlive(), "the child writes until it is killed");
+    }
+
     private static void check(Path a, Path b, Map<String, Key> keys, String what) throws Exception {
         StoreOptions options = KillChild.OPTIONS.withInline(true).withCheckAll(true);
         try (Store store = Store.open(new FolderDisk(a), new FolderDisk(b), options, System::currentTimeMillis)) {
--- a/src/test/java/kelphollow/store/StoreRig.java
+++ b/src/test/java/kelphollow/store/StoreRig.java
@@ -19,7 +19,7 @@
         QUIET.setLevel(java.util.logging.Level.OFF);
     }
 
-    static final StoreOptions SMALL = new StoreOptions(512, 4096, 8192, 4096, 1 << 30, true, true);
+    static final StoreOptions SMALL = new StoreOptions(512, 4096, 8192, 4096, 1 << 30, 0, true, true);
     MemoryDisk a, b;
     Store store;
     StoreOptions options = SMALL;
--- a/src/test/java/kelphollow/store/StoreTest.java
+++ b/src/test/java/kelphollow/store/StoreTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 /** What callers of the store see. */
@@ -197,6 +198,58 @@
         again.close();
     }
 
+    /** The two copies are synced side by side: whichever fails, nothing is acknowledged then or later. */
+    @Test void aFailedSyncOfEitherCopyIsToldToAllThatWaitAndToAllThatCome() throws Exception {
+        for (int failing = 0; failing < 2; failing++) {
+            MemoryDisk.Faults[] faults = {new MemoryDisk.Faults(), new MemoryDisk.Faults()};
+            MemoryDisk[] disks = {new MemoryDisk("a", faults[0]), new MemoryDisk("b", faults[1])};
+            Store store = Store.open(disks[0], disks[1], StoreRig.SMALL.withInline(false), () -> 1);
+            assertNull(write(store, "before"));
+            faults[failing].kind = MemoryDisk.Faults.Kind.SYNC_FAILS;
+            faults[failing].at = faults[failing].operations;
+            assertEquals(StoreFault.Kind.DISK, write(store, "during").kind(), disks[failing].place());
+            faults[failing].at = Integer.MAX_VALUE;
+            assertEquals(StoreFault.Kind.DISK, write(store, "after").kind(), disks[failing].place());
+            store.close();
+            MemoryDisk.Faults none = new MemoryDisk.Faults();
+            try (Store again = Store.open(disks[0].copy(none), disks[1].copy(none), StoreRig.SMALL, () -> 1)) {
+                assertNotNull(again.get("t", StoreRig.bytes("before")));
+                assertNull(again.get("t", StoreRig.bytes("after")));
+            }
+        }
+    }
+
+    private static StoreFault write(Store store, String key) {
+        CompletableFuture<StoreFault> done = new CompletableFuture<>();
+        store.write(new Batch().put("t", StoreRig.bytes(key), new byte[9]), Grade.SYNCED, Runnable::run, done::complete);
+        return done.join();
+    }
+
+    @Test void scrubbingComesWhenItIsDueAndHealsSegmentsAndHints() throws Exception {
+        MemoryDisk.Faults faults = new MemoryDisk.Faults();
+        MemoryDisk a = new MemoryDisk("a", faults), b = new MemoryDisk("b", faults);
+        long[] now = {1};
+        StoreOptions options = StoreRig.SMALL.withScrubEvery(1_000);
+        try (Store store = Store.open(a, b, options, () -> now[0])) {
+            for (int i = 0; i < 20; i++) {
+                store.write(new Batch().put("t", StoreRig.bytes("k" + i), new byte[200]), Grade.SYNCED, Runnable::run,
+                    fault -> assertNull(fault));
+            }
+            store.tidy();
+            String segment = a.names().stream().filter(n -> n.endsWith(".seg")).findFirst().orElseThrow();
+            for (String name : List.of(segment, segment.replace(".seg", ".hint"))) {
+                byte[] bytes = b.bytes(name);
+                bytes[bytes.length / 2] ^= 4;         // in place: the store has the file open
+            }
+            now[0] += 999;
+            store.tidy();
+            assertFalse(a.isSame(b), "it is not due yet");
+            now[0]++;
+            store.tidy();
+            assertTrue(a.isSame(b));
+        }
+    }
+
     @Test void afterClosingWritesAreRefused() throws Exception {
         rig.open();
         rig.put("t", "k", "v");
