Decide between sites without I/O: routes, link health, window, time, budget, one effect

Need: a gateway must forward work to a far site and keep every rule across the hop (first step of the gateway between sites; the link and the fronts come next, nothing uses this yet).

Change: kelphollow.site. Tidies pages of the store, whose threads are three now.

--- a/src/main/java/kelphollow/store/Store.java
+++ b/src/main/java/kelphollow/store/Store.java
@@ -17,8 +17,8 @@
  * executor once the grade asked for is reached. Reading looks into memory and then reads one place of one file, which
  * may wait for the disk: an event loop keeps in memory what it needs.
  *
- * <p>Cost: at most 64 bytes of memory a key beside the key; two threads, one that writes and one for the background.
- * All methods may be called from any thread. The files' form and the order of syncs are in {@code docs/design/STORE.md}.
+ * <p>Cost: at most 64 bytes of memory a key beside the key; three threads: one writes, one syncs the second copy, one is
+ * for the background. All methods may be called from any thread. The files' form and the order of syncs are in {@code docs/design/STORE.md}.
  */
 public final class Store implements AutoCloseable {
     /**
--- a/src/test/java/kelphollow/program/LayersTest.java
+++ b/src/test/java/kelphollow/program/LayersTest.java
@@ -20,6 +20,7 @@
             .layer("ledger").definedBy("kelphollow.ledger..")
             .layer("recovery").definedBy("kelphollow.recovery..")
             .layer("store").definedBy("kelphollow.store..")
+            .layer("site").definedBy("kelphollow.site..")
             .layer("decision").definedBy("kelphollow.decision..")
             .whereLayer("program").mayNotBeAccessedByAnyLayer()
             .whereLayer("protocol").mayOnlyBeAccessedByLayers("program")
@@ -31,6 +32,7 @@
             .whereLayer("recovery").mayNotAccessAnyLayer()
             .whereLayer("store").mayOnlyBeAccessedByLayers("program", "protocol", "ledger")
             .whereLayer("store").mayNotAccessAnyLayer()
+            .whereLayer("site").mayNotAccessAnyLayer()
             .whereLayer("decision").mayNotAccessAnyLayer()
             .check(new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kelphollow"));
     }
