Keep the first copy's error when both copies of the store fail to sync

When both syncs failed, the error told was a wrapper without the cause that the operator needs (a full disk, say).

Result: 25 tests of the store and of the layers pass.

--- a/src/main/java/kelphollow/store/Segment.java
+++ b/src/main/java/kelphollow/store/Segment.java
@@ -135,7 +135,9 @@
         try {
             other.get();
         } catch (ExecutionException e) {
-            failed = failed == null && e.getCause() instanceof IOException io ? io : new IOException(e);
+            if (failed == null) {
+                failed = e.getCause() instanceof IOException io ? io : new IOException(e);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             failed = new IOException("interrupted while the second copy was synced");
