Take the clients' socket from descriptor 0 and answer the management line

GW_SOCKET_FD now hands the listener over through System.inheritedChannel(); mgmt/GW_MGMT opens a one-line protocol (status, maint-on, maint-off) on a loop of its own; bans live in kelphollow.maintenance, are laid over discovery's lists by the core and kept in TMPDIR.

--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -13,7 +13,15 @@
 
 /** The one place where configuration is read, checked and given its defaults. Faults name their key. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              int dialTimeout, double idleTime, Members known, ControlApi.Settings settings) {
+              int dialTimeout, double idleTime, Members known, ControlApi.Settings settings, Operations operations) {
+    /**
+     * What the operators reach and what the platform hands down: the management address (null: none) and whether
+     * the clients' listening socket is inherited as descriptor 0 rather than opened.
+     */
+    record Operations(InetSocketAddress mgmt, boolean inherited) {
+        static final Operations NONE = new Operations(null, false);
+    }
+
     /** A fault in the configuration; the message names the key. */
     static final class Bad extends Exception {
         private static final long serialVersionUID = 1L;
@@ -45,7 +53,16 @@
             seed(word(json, "seed", "0")), (int) number(limits, "limits.", "sockets", SOCKETS, 16),
             (int) number(ceilings, "settings.ceilings.", "dial_timeout", DIAL_TIMEOUT, 1),
             IDLE_PART * number(ceilings, "settings.ceilings.", "idle_close", IDLE_CLOSE, 1), known(json),
-            settings(settings));
+            settings(settings), operations(json, environment));
+    }
+
+    static Operations operations(Map<?, ?> json, Map<String, String> environment) throws Bad {
+        String mgmt = json.get("mgmt") != null ? word(json, "mgmt", null) : environment.get("GW_MGMT");
+        String fd = environment.get("GW_SOCKET_FD");
+        if (fd != null && !fd.strip().equals("0")) {
+            throw new Bad("GW_SOCKET_FD: '" + fd + "'; only descriptor 0 can be taken over");
+        }
+        return new Operations(mgmt == null || mgmt.isEmpty() ? null : address(mgmt, "mgmt"), fd != null);
     }
 
     static Map<?, ?> readFile(String key, String file) throws Bad {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -213,6 +213,30 @@
         });
     }
 
+    /** Runs the step on the loop that owns the core; its result comes when it has run. */
+    <T> java.util.concurrent.CompletableFuture<T> onLoop(java.util.function.Function<Core, T> step) {
+        java.util.concurrent.CompletableFuture<T> result = new java.util.concurrent.CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                result.complete(step.apply(core));
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+
+    /** Whether discovery has said anything since the start; safe from any thread. */
+    boolean heardList() {
+        return core != null && core.heardList();
+    }
+
+    /** Takes clients from the socket that the platform handed down; nothing new is taken at once on leaving. */
+    InetSocketAddress listen(java.nio.channels.ServerSocketChannel inherited) {
+        serveOn = 0;
+        return server.listen(loop, inherited, front);
+    }
+
     /** Listens; returns the address with the port that was given. */
     InetSocketAddress listen(InetSocketAddress address) {
         return server.listen(loop, address, front);
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -4,13 +4,16 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import kelphollow.decision.ControlApi.RequestClass;
 import kelphollow.decision.ControlApi.Settings;
+import kelphollow.protocol.mgmt.MgmtServer;
 import kelphollow.protocol.resp.RespWarmup;
 import kelphollow.routing.Invariant;
 import kelphollow.transport.WheelTicker;
@@ -34,6 +37,7 @@
         Scheduler scheduler;
         Settings settings;
         InetSocketAddress address;
+        Config.Operations operations = null;
         if (file != null) {
             ObjectConfig config = ObjectConfig.read(file);
             settings = config.settings();
@@ -43,17 +47,46 @@
             Config config = Config.platform(System.getenv());
             settings = config.settings();
             address = config.listen();
+            operations = config.operations();
             RespWarmup.run(settings, config.seed());
             scheduler = Scheduler.of(config, loop, ticker);
         }
-        InetSocketAddress at = scheduler.listen(address);
+        Management management = operations == null || operations.mgmt() == null ? null
+            : manage(scheduler, operations.mgmt());
+        InetSocketAddress at = operations != null && operations.inherited() ? scheduler.listen(inherited())
+            : scheduler.listen(address);
         LOG.info(() -> "serves at " + Scheduler.text(at));
+        if (management != null) {
+            management.listening(System.currentTimeMillis());
+        }
         Signal.handle(new Signal("HUP"), signal -> reload(scheduler));
-        leaveOnTerm(scheduler, settings);
+        leaveOnTerm(scheduler, settings, management);
         group.terminationFuture().sync();
         return 1;
     }
 
+    /** The management address, on an event loop of its own; the bans of an earlier process are taken first. */
+    private static Management manage(Scheduler scheduler, InetSocketAddress at) {
+        EventLoop own = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Management management = new Management(scheduler, own, Management.bansFile());
+        management.start();
+        InetSocketAddress bound = new MgmtServer(own, management).listen(at);
+        LOG.info(() -> "management at " + Scheduler.text(bound));
+        return management;
+    }
+
+    /** Descriptor 0, when the platform hands down the clients' listening socket. */
+    private static ServerSocketChannel inherited() throws Config.Bad {
+        try {
+            if (System.inheritedChannel() instanceof ServerSocketChannel channel) {
+                return channel;
+            }
+        } catch (IOException e) {
+            throw new Config.Bad("GW_SOCKET_FD: " + e.getMessage());
+        }
+        throw new Config.Bad("GW_SOCKET_FD: descriptor 0 is no listening TCP socket");
+    }
+
     /** Guards against a file that is bad or half written: it is read whole, and if it has a fault all stays as it was. */
     private void reload(Scheduler scheduler) {
         try {
@@ -68,9 +101,12 @@
         }
     }
 
-    private static void leaveOnTerm(Scheduler scheduler, Settings settings) {
+    private static void leaveOnTerm(Scheduler scheduler, Settings settings, Management management) {
         double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (management != null) {
+                management.leaving();
+            }
             CountDownLatch left = new CountDownLatch(1);
             scheduler.leave(left::countDown);
             boolean all = false;
--- a/src/main/java/kelphollow/program/Train.java
+++ b/src/main/java/kelphollow/program/Train.java
@@ -44,7 +44,8 @@
         // It is its own storage node, which fails a request since its id is open, and its own discovery, which fails.
         Member node = new Member(new NodeEntry("self", "", 0, Phase.HEALTHY, 0), self);
         try (WheelTicker ticker = new WheelTicker(loop, Serve.TICK)) {
-            Config config = new Config("train", self, self, 0, 256, 250, 12_000, new Members(1, true, List.of(node)), settings);
+            Config config = new Config("train", self, self, 0, 256, 250, 12_000, new Members(1, true, List.of(node)), settings,
+                Config.Operations.NONE);
             Scheduler.of(config, loop, ticker).listen(self);
             try (Socket client = new Socket(self.getAddress(), self.getPort())) {
                 client.setSoTimeout(GUARD_MILLIS);
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/mgmt/MgmtServer.java
@@ -0,0 +1,116 @@
+package kelphollow.protocol.mgmt;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.ReadTimeoutException;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The management address: each connection carries one line and gets one line back, {@code ACK ...} or
+ * {@code NAK reason}, then is closed. Runs on an event loop of its own, never on the scheduler's.
+ */
+public final class MgmtServer {
+    /** Seconds a connection may stand without a whole line. */
+    public static final int PATIENCE_SECONDS = 5;
+    /** Connections held at once; when all are taken the oldest is closed. */
+    public static final int MOST_CONNECTIONS = 64;
+
+    /** What carries out the calls; the answer is the whole line without its end. */
+    public interface Calls {
+        CompletionStage<String> call(MgmtLine.Call call);
+    }
+
+    private final EventLoop loop;
+    private final Calls calls;
+    private final ArrayDeque<Channel> held = new ArrayDeque<>();
+    private Channel listener;
+
+    public MgmtServer(EventLoop loop, Calls calls) {
+        this.loop = loop;
+        this.calls = calls;
+    }
+
+    /** Opens the socket; blocks until it listens; returns the address with its port. */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    if (held.size() >= MOST_CONNECTIONS) {
+                        held.poll().close();
+                    }
+                    held.add(channel);
+                    channel.closeFuture().addListener(closed -> held.remove(channel));
+                    channel.pipeline().addLast(new ReadTimeoutHandler(PATIENCE_SECONDS, TimeUnit.SECONDS),
+                        new LineBasedFrameDecoder(MgmtLine.LONGEST, true, true), new OneLine());
+                }
+            })
+            .bind(address).syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    public void stop() {
+        if (listener != null) {
+            listener.close().syncUninterruptibly();
+        }
+    }
+
+    /** Reads the one line of a connection, answers and closes. */
+    private final class OneLine extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean called;
+
+        @Override protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            if (called) {
+                return;   // one line a connection; what follows is not read
+            }
+            called = true;
+            context.channel().config().setAutoRead(false);
+            MgmtLine line = MgmtLine.parse(ByteBufUtil.getBytes(frame));
+            if (line instanceof MgmtLine.Bad bad) {
+                answer(context, "NAK " + bad.reason());
+                return;
+            }
+            calls.call((MgmtLine.Call) line).whenComplete((text, fault) ->
+                loop.execute(() -> answer(context, fault == null ? text : "NAK " + fault.getMessage())));
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (called) {
+                context.close();
+            } else if (cause instanceof TooLongFrameException) {
+                called = true;
+                answer(context, "NAK the line is longer than " + MgmtLine.LONGEST + " bytes");
+            } else if (cause instanceof ReadTimeoutException) {
+                called = true;
+                answer(context, "NAK no whole line in " + PATIENCE_SECONDS + " s");
+            } else {
+                context.close();
+            }
+        }
+
+        private void answer(ChannelHandlerContext context, String text) {
+            if (context.channel().isActive()) {
+                context.writeAndFlush(Unpooled.copiedBuffer(text + "\n", StandardCharsets.US_ASCII))
+                    .addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
+}
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -9,6 +9,7 @@
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.*;
+import kelphollow.maintenance.Bans;
 
 /**
  * Requests, attempts and outcomes. Feeds what happens to the decision module, carries out what it decides,
@@ -28,6 +29,10 @@
     private final Map<String, Attempt> out = new HashMap<>();
     private final Map<String, Member> members = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final Bans bans = new Bans();
+    /** Each node as discovery last told it, before the bans are laid over it. */
+    private final Map<String, NodeEntry> told = new HashMap<>();
+    private volatile boolean heard;
     private Directory directory = () -> { };
     private boolean busy;
     private long ids;
@@ -122,6 +127,18 @@
     // ---------------------------------------------------------------- the node list
 
     public void learn(List<Member> news, boolean whole, boolean persisted) {
+        heard |= !persisted;
+        if (whole) {
+            told.clear();
+        }
+        for (Member m : news) {
+            if (m.entry().phase() == Phase.GONE) {
+                told.remove(m.entry().node());
+            } else {
+                told.put(m.entry().node(), m.entry());
+            }
+        }
+        news = news.stream().map(this::banned).toList();
         List<String> retired = new ArrayList<>();
         if (whole) {
             Map<String, Member> before = new HashMap<>(members);
@@ -146,6 +163,75 @@
         retired.forEach(backend::retire);
     }
 
+    /** Whether a list has come from discovery since the start, not only the one kept from before. */
+    public boolean heardList() {
+        return heard;
+    }
+
+    /** A banned node is told to the module as draining, whatever discovery says of it. */
+    private Member banned(Member m) {
+        NodeEntry e = m.entry();
+        if (!bans.holds(e.node()) || e.phase() != Phase.HEALTHY) {
+            return m;
+        }
+        return new Member(new NodeEntry(e.node(), e.zone(), e.cell(), Phase.DRAINING, e.born()), m.address());
+    }
+
+    // ---------------------------------------------------------------- maintenance
+
+    /**
+     * Takes the node out for maintenance: nothing new goes to it from now on, and its idle connections are closed.
+     * Returns false, and bans nothing, if no list names the node.
+     */
+    public boolean ban(String node) {
+        Member m = members.get(node);
+        if (m == null) {
+            return bans.holds(node);
+        }
+        if (bans.take(node)) {
+            Member drained = banned(m);
+            members.put(node, drained);
+            tell(new NodeList(List.of(drained.entry()), false, true));
+            backend.retire(node);
+        }
+        return true;
+    }
+
+    /**
+     * Lets the node serve again. It was restarted while it was out, so it is told as born now: cold, and warmed.
+     * Returns false if the node is neither banned nor named by a list.
+     */
+    public boolean lift(String node) {
+        if (!bans.release(node)) {
+            return members.containsKey(node);
+        }
+        Member m = members.get(node);
+        if (m != null) {
+            NodeEntry e = told.getOrDefault(node, m.entry());
+            NodeEntry back = new NodeEntry(e.node(), e.zone(), e.cell(), e.phase(), Math.max(e.born(), now()));
+            members.put(node, new Member(back, m.address()));
+            tell(new NodeList(List.of(back), false, true));
+            backend.retire(node);
+        }
+        return true;
+    }
+
+    /** The bans as they stand, for the next process. */
+    public java.util.Set<String> bans() {
+        return bans.nodes();
+    }
+
+    /** Follows bans that another process wrote: takes and lifts until they are the same. */
+    public void adoptBans(java.util.Set<String> told) {
+        Bans.Change change = bans.towards(told);
+        for (String node : change.take()) {
+            if (!ban(node)) {
+                bans.take(node);   // no list names it yet; the ban waits for one
+            }
+        }
+        change.release().forEach(this::lift);
+    }
+
     public void listFailed() {
         tell(new ListFailed());
     }
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -25,7 +25,23 @@
 
     /** Opens the socket; blocks until it listens. Called from outside the event loop. */
     public InetSocketAddress listen(EventLoop loop, InetSocketAddress address, Front front) {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listener = bootstrap(loop, front).channel(NioServerSocketChannel.class)
+            .bind(address).syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /**
+     * Takes connections from a socket that listens already, one that the platform handed down. Closing it later
+     * closes only this process's descriptor: the socket stays with whoever else holds it.
+     */
+    public InetSocketAddress listen(EventLoop loop, java.nio.channels.ServerSocketChannel inherited, Front front) {
+        listener = bootstrap(loop, front).channelFactory(() -> new NioServerSocketChannel(inherited))
+            .register().syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    private ServerBootstrap bootstrap(EventLoop loop, Front front) {
+        return new ServerBootstrap().group(loop)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -43,9 +59,7 @@
                     channel.closeFuture().addListener(closed -> connections--);
                     front.accept(channel);
                 }
-            })
-            .bind(address).syncUninterruptibly().channel();
-        return (InetSocketAddress) listener.localAddress();
+            });
     }
 
     /** Takes no new connections; those that stand go on. */
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -59,13 +59,13 @@
         }
         settings.put("discovery", discovery == null ? "automatic" : "subscribe");
         bench.config = new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1,
-            SOCKETS, 250, 12_000, new Members(1, true, members), Config.settings(settings));
+            SOCKETS, 250, 12_000, new Members(1, true, members), Config.settings(settings), Config.Operations.NONE);
         bench.start(Scheduler.of(bench.config, bench.loop, bench.ticker));
         return bench;
     }
 
     void reload(InetSocketAddress discovery) throws InterruptedException {
-        scheduler.reload(new Config("test", null, discovery, 1, SOCKETS, 250, 12_000, config.known(), config.settings()));
+        scheduler.reload(new Config("test", null, discovery, 1, SOCKETS, 250, 12_000, config.known(), config.settings(), Config.Operations.NONE));
         loop.submit(() -> { }).sync();
     }
 
--- a/src/test/java/kelphollow/program/LayersTest.java
+++ b/src/test/java/kelphollow/program/LayersTest.java
@@ -12,7 +12,7 @@
         layeredArchitecture().consideringOnlyDependenciesInLayers()
             .layer("program").definedBy("kelphollow.program..")
             .layer("protocol").definedBy("kelphollow.protocol.resp..", "kelphollow.protocol.object..",
-                "kelphollow.protocol.discovery..", "kelphollow.protocol.xds..")
+                "kelphollow.protocol.discovery..", "kelphollow.protocol.xds..", "kelphollow.protocol.mgmt..")
             .layer("transport").definedBy("kelphollow.transport..")
             .layer("routing").definedBy("kelphollow.routing..")
             .layer("adapter").definedBy("kelphollow.adapter..")
@@ -22,6 +22,7 @@
             .layer("store").definedBy("kelphollow.store..")
             .layer("site").definedBy("kelphollow.site..")
             .layer("decision").definedBy("kelphollow.decision..")
+            .layer("maintenance").definedBy("kelphollow.maintenance..")
             .whereLayer("program").mayNotBeAccessedByAnyLayer()
             .whereLayer("protocol").mayOnlyBeAccessedByLayers("program")
             .whereLayer("transport").mayOnlyBeAccessedByLayers("program", "protocol")
@@ -34,6 +35,7 @@
             .whereLayer("store").mayNotAccessAnyLayer()
             .whereLayer("site").mayNotAccessAnyLayer()
             .whereLayer("decision").mayNotAccessAnyLayer()
+            .whereLayer("maintenance").mayNotAccessAnyLayer()
             .check(new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kelphollow"));
     }
 }
