Hand a volume's limits over at an upgrade: the new process takes clients once the old stops

Both processes took clients from the one socket, and the new one's gates had filled since its start (Gate.left added to a level that began at the start; at stayed there). Change: each process shows in TMPDIR that it lives; a new one that finds another says ready but waits for its hand-over file (written at SIGTERM, after it stops taking clients) and restores the levels, which now go on from the time they are handed over (Control.Gate.left).

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -491,9 +491,9 @@
             burst = plan.limitBurst() / hosts;
         }
 
-        /** The store was never empty: its level goes on from what an earlier life left. */
+        /** The store was never empty: its level goes on from what the life or process before left. */
         void left(Double units) {
-            if (units != null) level = Math.min(burst, level + units);
+            if (units != null) { level = Math.min(burst, units); at = now; }   // the level is as of now
         }
 
         private double fill() {
--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -23,6 +23,7 @@
 final class Management implements MgmtServer.Calls {
     private static final Logger LOG = Logger.getLogger(Management.class.getName());
     static final long LOOK_MS = 200;
+    static final long HANDOVER_LOOK_MS = 20;
     // Without a word from discovery a process says it is ready so long after it listens, on the list it was given.
     private static final double READY_WITHOUT_LIST = 1_500;
     private final Scheduler scheduler;
@@ -45,10 +46,86 @@
         return Path.of(tmp == null || tmp.isEmpty() ? System.getProperty("java.io.tmpdir") : tmp, "kelphollow-bans");
     }
 
-    /** Takes the bans that an earlier process left, before the scheduler listens. */
+    /** Takes the bans that an earlier process left, before the scheduler listens; shows that this one lives. */
     void start() {
         own.submit(this::look).syncUninterruptibly();
         own.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        own.scheduleWithFixedDelay(this::live, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private Path alive(long pid) {
+        return file.resolveSibling("kelphollow-alive-" + pid);
+    }
+
+    private Path handedOver(long pid) {
+        return file.resolveSibling("kelphollow-handover-" + pid);
+    }
+
+    private void live() {
+        try {
+            Path mine = alive(ProcessHandle.current().pid());
+            if (!Files.exists(mine)) {
+                Files.writeString(mine, "");
+            }
+            Files.setLastModifiedTime(mine, java.nio.file.attribute.FileTime.fromMillis(System.currentTimeMillis()));
+        } catch (IOException e) {
+            LOG.fine(() -> "cannot show that this process lives: " + e.getMessage());
+        }
+    }
+
+    /** Another process of this scheduler that showed within the last second that it lives, or -1. */
+    long other() {
+        long me = ProcessHandle.current().pid();
+        try (var files = Files.list(file.getParent())) {
+            return files.map(f -> f.getFileName().toString()).filter(n -> n.startsWith("kelphollow-alive-"))
+                .mapToLong(n -> Long.parseLong(n.substring("kelphollow-alive-".length())))
+                .filter(pid -> pid != me && fresh(alive(pid))).findFirst().orElse(-1);
+        } catch (IOException | NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static boolean fresh(Path path) {
+        try {
+            return System.currentTimeMillis() - Files.getLastModifiedTime(path).toMillis() < 1_000;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /**
+     * Waits, on the caller's thread, until the process before has stopped taking clients, and returns the levels
+     * of the volumes' limits that it left: from then on only this process spends them. Gives up waiting, with no
+     * levels, once the other shows no life for a second or after {@code most} ms.
+     */
+    java.util.Map<String, Double> awaitHandover(long pid, double most) throws InterruptedException {
+        long until = System.currentTimeMillis() + (long) most;
+        while (System.currentTimeMillis() < until) {
+            Path left = handedOver(pid);
+            if (Files.exists(left)) {
+                try {
+                    return HandoverText.read(Files.readString(left, StandardCharsets.US_ASCII));
+                } catch (IOException | IllegalArgumentException e) {
+                    LOG.fine(() -> "handover not whole yet: " + e.getMessage());
+                }
+            } else if (!fresh(alive(pid))) {
+                return java.util.Map.of();
+            }
+            Thread.sleep(HANDOVER_LOOK_MS);
+        }
+        return java.util.Map.of();
+    }
+
+    /** Written by the old process once it takes no new clients: what its volumes' limits hold. */
+    void handOver(java.util.Map<String, Double> levels) {
+        Path part = handedOver(ProcessHandle.current().pid()).resolveSibling("kelphollow-handover.part");
+        try {
+            Files.writeString(part, HandoverText.text(levels), StandardCharsets.US_ASCII);
+            Files.move(part, handedOver(ProcessHandle.current().pid()), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            LOG.warning("limits not handed over: " + e.getMessage());
+        }
     }
 
     void listening(double now) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -49,6 +49,7 @@
     private Ledger ledger;
     private NodeRecords nodes;
     private double serveOn = LISTEN_ON, answerBy = Double.POSITIVE_INFINITY;
+    private volatile boolean inherited;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
         this.loop = loop;
@@ -226,6 +227,16 @@
         return result;
     }
 
+    /** What the process before left of volumes' limits; before the first request. */
+    void restoreLimits(Map<String, Double> levels) {
+        loop.submit(() -> core.restoreLimits(levels)).syncUninterruptibly();
+    }
+
+    /** Whether clients come through a socket that the platform handed down. */
+    boolean inherited() {
+        return inherited;
+    }
+
     /** Whether discovery has said anything since the start; safe from any thread. */
     boolean heardList() {
         return core != null && core.heardList();
@@ -234,6 +245,7 @@
     /** Takes clients from the socket that the platform handed down; nothing new is taken at once on leaving. */
     InetSocketAddress listen(java.nio.channels.ServerSocketChannel inherited) {
         serveOn = 0;
+        this.inherited = true;
         return server.listen(loop, inherited, front);
     }
 
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -26,6 +26,8 @@
     static final long TICK = 2;
     // Nothing waits longer than the longest deadline; the rest is for answers on their way to slow readers.
     private static final double LEAVE_SLACK = 500;
+    // The process before is killed at the latest 6 s after the start and 3.7 s after that.
+    private static final double HANDOVER_MOST = 12_000;
 
     @Option(name = "--config", metaVar = "FILE", usage = "serve the object API as this file says")
     private String file;
@@ -53,8 +55,8 @@
         }
         Management management = operations == null || operations.mgmt() == null ? null
             : manage(scheduler, operations.mgmt());
-        InetSocketAddress at = operations != null && operations.inherited() ? scheduler.listen(inherited())
-            : scheduler.listen(address);
+        boolean inherited = operations != null && operations.inherited();
+        InetSocketAddress at = inherited ? takeOver(scheduler, management) : scheduler.listen(address);
         LOG.info(() -> "serves at " + Scheduler.text(at));
         if (management != null) {
             management.listening(System.currentTimeMillis());
@@ -75,6 +77,24 @@
         return management;
     }
 
+    /**
+     * Takes clients from the handed-down socket. While the process before still serves, this one says it is ready but
+     * takes nobody until that one has stopped and handed over its limits: one scheduler spends them, never two.
+     */
+    private static InetSocketAddress takeOver(Scheduler scheduler, Management management)
+        throws Config.Bad, InterruptedException {
+        ServerSocketChannel channel = inherited();
+        if (management != null) {
+            long before = management.other();
+            if (before >= 0) {
+                management.listening(System.currentTimeMillis());
+                LOG.info(() -> "waits for process " + before + " to hand over");
+                scheduler.restoreLimits(management.awaitHandover(before, HANDOVER_MOST));
+            }
+        }
+        return scheduler.listen(channel);
+    }
+
     /** Descriptor 0, when the platform hands down the clients' listening socket. */
     private static ServerSocketChannel inherited() throws Config.Bad {
         try {
@@ -109,6 +129,15 @@
             }
             CountDownLatch left = new CountDownLatch(1);
             scheduler.leave(left::countDown);
+            if (management != null && scheduler.inherited()) {
+                try {
+                    management.handOver(scheduler.onLoop(core -> core.limitLevels()).get(500, TimeUnit.MILLISECONDS));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+                    management.handOver(java.util.Map.of());
+                }
+            }
             boolean all = false;
             try {
                 all = left.await((long) (scheduler.serveOn() + longest + LEAVE_SLACK), TimeUnit.MILLISECONDS);
