--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -83,7 +83,7 @@
     private List<Action> out = new ArrayList<>();
     private double now, wakeAt = Double.POSITIVE_INFINITY, listRetry = LIST_RETRY;
     private double askAt = Double.POSITIVE_INFINITY, leaveBy = Double.POSITIVE_INFINITY;
-    private double largest, around, aroundAt;
+    private double largest, around, aroundAt, mostTries;
     private long orders, planStamp;
 
     /** Starts an instance that knows nothing but its settings; call {@link #start} next. */
@@ -93,6 +93,7 @@
         this.random = new Random(seed * 0x9E3779B97F4A7C15L);   // hosts with near seeds must not draw alike
         this.bornAt = now;
         this.now = now;
+        this.mostTries = settings.maxAttempts();
         require(settings.hosts() > 0, "hosts must be at least 1");
         require(settings.maxAttempts() > 0, "maxAttempts must be at least 1");
         require(!settings.classes().isEmpty(), "classes is empty");
@@ -141,6 +142,9 @@
                 r.answerAt = Math.min(r.answerAt, leaveBy);
                 dues.add(new Due(r.answerAt, r));
             }
+        } else if (event instanceof Retuned t) {
+            t.classes().forEach(c -> classes.put(c.name(), c));
+            mostTries = Math.max(1, t.maxAttempts());
         } else if (event instanceof LimitsLeft l) {
             limitsLeft.putAll(l.levels());
         } else if (event instanceof ListMoved) {
@@ -942,7 +946,7 @@
     }
 
     private boolean mayRepeat(Request r) {
-        if (r.tries >= settings.maxAttempts() || now >= r.answerAt) return false;
+        if (r.tries >= mostTries || now >= r.answerAt) return false;
         return r.kind.effect() == Effect.SAFE || r.maybeRanSince < 0
             || r.kind.effect() == Effect.KEYED && now + BACKOFF * r.tries - r.maybeRanSince < r.kind.window();
     }
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -57,6 +57,12 @@
     /** The node list: changes only, or all of it ({@code whole}); {@code persisted} when it is from disk. */
     public record NodeList(List<NodeEntry> nodes, boolean whole, boolean persisted) implements Event { }
 
+    /**
+     * New settings: the classes known from now on (requests under way keep the class they came with) and the
+     * attempts a request may have, at least 1.
+     */
+    public record Retuned(List<RequestClass> classes, int maxAttempts) implements Event { }
+
     /** A call for the list failed, or the subscription broke. */
     public record ListFailed() implements Event { }
 
--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -85,6 +85,21 @@
         for (String key : new String[] {"ceilings", "contract", "extra"}) {
             object(map, "settings.", key);
         }
+        java.util.List<?> classes = (java.util.List<?>) map.get("request_classes");
+        for (int i = 0; i < classes.size(); i++) {
+            String at = "settings.request_classes[" + i + "].";
+            if (!(classes.get(i) instanceof Map<?, ?> c)) {
+                throw new Bad(at.substring(0, at.length() - 1) + " is not an object");
+            }
+            if (!(c.get("name") instanceof String name) || name.isEmpty()) {
+                throw new Bad(at + "name" + (c.get("name") == null ? " is missing" : " is not a text"));
+            }
+            for (String key : new String[] {"deadline", "aim"}) {
+                if (!(c.get(key) instanceof Double d) || !(d > 0)) {
+                    throw new Bad(at + key + (c.get(key) == null ? " is missing" : " must be a number above 0"));
+                }
+            }
+        }
         number(map, "settings.", "fleet_size", Double.NaN, 1);
         number(object(map, "settings.", "ceilings"), "settings.ceilings.", "most_tries", Double.NaN, 1);
         number(object(map, "settings.", "contract"), "settings.contract.", "drain_grace", Double.NaN, 0);
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -18,6 +18,7 @@
 import kelphollow.protocol.resp.RespFront;
 import kelphollow.protocol.xds.XdsPoll;
 import kelphollow.recovery.LimitStart;
+import kelphollow.retune.Retune;
 import kelphollow.routing.Core;
 import kelphollow.routing.Directory;
 import kelphollow.routing.Member;
@@ -50,6 +51,9 @@
     private NodeRecords nodes;
     private double serveOn = LISTEN_ON, answerBy = Double.POSITIVE_INFINITY;
     private volatile boolean inherited;
+    /** The classes and attempts that bind once what was read last has settled. */
+    private Retune.Tuning tuning;
+    private Ticker.Timeout settling;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
         this.loop = loop;
@@ -82,6 +86,7 @@
             scheduler.listAt = config.discovery();
             core.start(scheduler.watch(config.discovery(), config.known().version()));
             scheduler.front = new RespFront(core, ticker, config.settings(), clients(config.sockets()));
+            scheduler.tuning = new Retune.Tuning(config.settings().classes(), config.settings().maxAttempts());
         }).syncUninterruptibly();
         return scheduler;
     }
@@ -199,6 +204,25 @@
                 listAt = config.discovery();
                 core.follow(watch(listAt, -1));
             }
+            retune(new Retune.Tuning(config.settings().classes(), config.settings().maxAttempts()));
+        });
+    }
+
+    /** The stricter blend of what holds and what comes at once, what comes alone after {@link Retune#SETTLE_MS}. */
+    private void retune(Retune.Tuning next) {
+        if (settling != null) {
+            settling.cancel();
+        }
+        List<Retune.Step> steps = Retune.plan(tuning, next, ticker.now());
+        Retune.Step first = steps.get(0), then = steps.get(1);
+        core.retune(first.classes(), first.maxAttempts());
+        if (front instanceof RespFront resp) {
+            resp.know(first.classes().stream().map(RequestClass::name).toList());
+        }
+        tuning = new Retune.Tuning(then.classes(), then.maxAttempts());
+        settling = ticker.after(then.at() - ticker.now(), () -> {
+            settling = null;
+            core.retune(then.classes(), then.maxAttempts());
         });
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -63,6 +63,11 @@
         sweepLater();
     }
 
+    /** Classes that new settings name are taken from now on; those taken before stay, for clients that lag. */
+    public void know(java.util.Collection<String> names) {
+        classes.addAll(names);
+    }
+
     @Override public void accept(Channel channel) {
         channel.pipeline().addLast(Resp.codec());
         channel.pipeline().addLast(new Client(channel));
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -68,6 +68,11 @@
         tell(new ListMoved());
     }
 
+    /** New classes and attempts bind from now on; requests under way keep their class. */
+    public void retune(List<RequestClass> classes, int maxAttempts) {
+        tell(new Retuned(classes, maxAttempts));
+    }
+
     /** What an earlier life left of volumes' limits; before the first request. */
     public void restoreLimits(Map<String, Double> levels) {
         tell(new LimitsLeft(levels));
--- a/src/test/java/kelphollow/program/LayersTest.java
+++ b/src/test/java/kelphollow/program/LayersTest.java
@@ -23,6 +23,7 @@
             .layer("site").definedBy("kelphollow.site..")
             .layer("decision").definedBy("kelphollow.decision..")
             .layer("maintenance").definedBy("kelphollow.maintenance..")
+            .layer("retune").definedBy("kelphollow.retune..")
             .whereLayer("program").mayNotBeAccessedByAnyLayer()
             .whereLayer("protocol").mayOnlyBeAccessedByLayers("program")
             .whereLayer("transport").mayOnlyBeAccessedByLayers("program", "protocol")
@@ -36,6 +37,7 @@
             .whereLayer("site").mayNotAccessAnyLayer()
             .whereLayer("decision").mayNotAccessAnyLayer()
             .whereLayer("maintenance").mayNotAccessAnyLayer()
+            .whereLayer("retune").mayOnlyAccessLayers("decision")
             .check(new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kelphollow"));
     }
 }
--- a/src/test/java/kelphollow/program/ProgramTest.java
+++ b/src/test/java/kelphollow/program/ProgramTest.java
@@ -65,11 +65,20 @@
         for (String[] fault : new String[][] {{"\"dial\":\"127.0.0.2:1\"", "\"dial\":7", "known: 'dial'"},
             {"\"health\":\"ready\"", "\"health\":\"well\"", "'health' is 'well'"}, {"8c1f30d27a5be964", "seed", "seed"},
             {"\"sockets\":512", "\"sockets\":1", "limits.sockets"}, {"\"discovery\":\"127.0.0.1:8500\",", "", "discovery is missing"},
-            {"\"most_tries\": 3", "\"most_tries\": 0", "settings.ceilings.most_tries"}}) {
+            {"\"most_tries\": 3", "\"most_tries\": 0", "settings.ceilings.most_tries"},
+            {"\"most_tries\": 3", "\"most_tries\": \"3\"", "settings.ceilings.most_tries"},
+            {"\"most_tries\": 3", "\"most_tries\": -1", "settings.ceilings.most_tries"},
+            {"\"deadline\": 1200.0", "\"deadline\": 0", "settings.request_classes[0].deadline must be a number above 0"},
+            {"\"deadline\": 1200.0", "\"deadline\": \"soon\"", "settings.request_classes[0].deadline"},
+            {"\"deadline\": 1200.0,", "", "settings.request_classes[0].deadline is missing"},
+            {"\"aim\": 250.0", "\"aim\": -5", "settings.request_classes[0].aim"}}) {
             assertTrue(good.contains(fault[0]), fault[0]);
             String told = assertThrows(Config.Bad.class, () -> platform(good.replace(fault[0], fault[1]))).getMessage();
             assertTrue(told.contains(fault[2]), told);
         }
+        for (String cut : new String[] {"", " ", good.substring(0, good.length() / 2), good.substring(0, good.length() - 1)}) {
+            assertThrows(Config.Bad.class, () -> platform(cut), "an empty or cut file is turned down: " + cut.length());
+        }
         assertEquals("GW_CONFIG is not set", assertThrows(Config.Bad.class, () -> Config.platform(Map.of())).getMessage());
     }
 
