--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -34,10 +34,18 @@
     /** The text of the file as this process last wrote or read it; touched on the management loop only. */
     private String lastText = "";
 
+    private final long pid;
+
     Management(Scheduler scheduler, EventLoop own, Path file) {
+        this(scheduler, own, file, ProcessHandle.current().pid());
+    }
+
+    /** {@code pid} tells this process from the other one of an upgrade; tests give two in one process. */
+    Management(Scheduler scheduler, EventLoop own, Path file, long pid) {
         this.scheduler = scheduler;
         this.own = own;
         this.file = file;
+        this.pid = pid;
     }
 
     /** {@code $TMPDIR}, the one place that can be written to, shared by both processes of an upgrade. */
@@ -61,9 +69,9 @@
         return file.resolveSibling("kelphollow-handover-" + pid);
     }
 
-    private void live() {
+    void live() {
         try {
-            Path mine = alive(ProcessHandle.current().pid());
+            Path mine = alive(pid);
             if (!Files.exists(mine)) {
                 Files.writeString(mine, "");
             }
@@ -75,7 +83,7 @@
 
     /** Another process of this scheduler that showed within the last second that it lives, or -1. */
     long other() {
-        long me = ProcessHandle.current().pid();
+        long me = pid;
         try (var files = Files.list(file.getParent())) {
             return files.map(f -> f.getFileName().toString()).filter(n -> n.startsWith("kelphollow-alive-"))
                 .mapToLong(n -> Long.parseLong(n.substring("kelphollow-alive-".length())))
@@ -118,10 +126,10 @@
 
     /** Written by the old process once it takes no new clients: what its volumes' limits hold. */
     void handOver(java.util.Map<String, Double> levels) {
-        Path part = handedOver(ProcessHandle.current().pid()).resolveSibling("kelphollow-handover.part");
+        Path part = handedOver(pid).resolveSibling("kelphollow-handover.part");
         try {
             Files.writeString(part, HandoverText.text(levels), StandardCharsets.US_ASCII);
-            Files.move(part, handedOver(ProcessHandle.current().pid()), StandardCopyOption.ATOMIC_MOVE,
+            Files.move(part, handedOver(pid), StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
             LOG.warning("limits not handed over: " + e.getMessage());
