Keep one copy of the node list in the core: bans are laid over what the module hears

Review: Core kept a second map, 'told', only to undo its overlay of bans on 'members'. Members now hold what discovery said; the bans are applied where the module is told and in wantsWork.

--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -29,9 +29,8 @@
     private final Map<String, Attempt> out = new HashMap<>();
     private final Map<String, Member> members = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    /** Laid over the node list: {@code members} holds what discovery told, the module hears it with the bans. */
     private final Bans bans = new Bans();
-    /** Each node as discovery last told it, before the bans are laid over it. */
-    private final Map<String, NodeEntry> told = new HashMap<>();
     private volatile boolean heard;
     private Directory directory = () -> { };
     private boolean busy;
@@ -133,17 +132,6 @@
 
     public void learn(List<Member> news, boolean whole, boolean persisted) {
         heard |= !persisted;
-        if (whole) {
-            told.clear();
-        }
-        for (Member m : news) {
-            if (m.entry().phase() == Phase.GONE) {
-                told.remove(m.entry().node());
-            } else {
-                told.put(m.entry().node(), m.entry());
-            }
-        }
-        news = news.stream().map(this::banned).toList();
         List<String> retired = new ArrayList<>();
         if (whole) {
             Map<String, Member> before = new HashMap<>(members);
@@ -156,10 +144,11 @@
             Member old = members.put(m.entry().node(), m);
             boolean moved = old != null
                 && (!old.address().equals(m.address()) || old.entry().born() != m.entry().born());
-            if (moved || m.entry().phase() != Phase.HEALTHY) {
+            NodeEntry said = banned(m.entry());
+            if (moved || said.phase() != Phase.HEALTHY) {
                 retired.add(m.entry().node());
             }
-            entries.add(m.entry());
+            entries.add(said);
             if (m.entry().phase() == Phase.GONE) {
                 members.remove(m.entry().node());
             }
@@ -174,12 +163,11 @@
     }
 
     /** A banned node is told to the module as draining, whatever discovery says of it. */
-    private Member banned(Member m) {
-        NodeEntry e = m.entry();
+    private NodeEntry banned(NodeEntry e) {
         if (!bans.holds(e.node()) || e.phase() != Phase.HEALTHY) {
-            return m;
+            return e;
         }
-        return new Member(new NodeEntry(e.node(), e.zone(), e.cell(), Phase.DRAINING, e.born()), m.address());
+        return new NodeEntry(e.node(), e.zone(), e.cell(), Phase.DRAINING, e.born());
     }
 
     // ---------------------------------------------------------------- maintenance
@@ -194,9 +182,7 @@
             return bans.holds(node);
         }
         if (bans.take(node)) {
-            Member drained = banned(m);
-            members.put(node, drained);
-            tell(new NodeList(List.of(drained.entry()), false, true));
+            tell(new NodeList(List.of(banned(m.entry())), false, true));
             backend.retire(node);
         }
         return true;
@@ -212,10 +198,9 @@
         }
         Member m = members.get(node);
         if (m != null) {
-            NodeEntry e = told.getOrDefault(node, m.entry());
-            NodeEntry back = new NodeEntry(e.node(), e.zone(), e.cell(), e.phase(), Math.max(e.born(), now()));
-            members.put(node, new Member(back, m.address()));
-            tell(new NodeList(List.of(back), false, true));
+            NodeEntry e = m.entry();
+            tell(new NodeList(List.of(new NodeEntry(e.node(), e.zone(), e.cell(), e.phase(),
+                Math.max(e.born(), now()))), false, true));
             backend.retire(node);
         }
         return true;
@@ -243,7 +228,7 @@
 
     boolean wantsWork(String node) {
         Member m = members.get(node);
-        return m != null && m.entry().phase() == Phase.HEALTHY;
+        return m != null && m.entry().phase() == Phase.HEALTHY && !bans.holds(node);
     }
 
     // ---------------------------------------------------------------- attempts
