Let a cold node take a second request once the first is answered; lend limits at a start

Cause: a host that sent one request to a cold node sat out the rest of the rule's second; traffic is uneven, and what a busy host may not send no idle one sends instead. Change: youngTakes lets a second request go in the span once the first is answered; a limit's part fills from the start of the process and begins with three quarters of the rule's slack over all hosts, paid back by a quarter of the rate.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -38,6 +38,8 @@
     static final double CALM = 5;
     // Part of what a cold node bears that is given out by lot; the rest is for chance and for surges.
     static final double LOT = 0.75;
+    // Below so many mean requests sent to a cold node in a span, one more may go when none is out there.
+    static final double SECOND = 1.5;
     // After so many of the shortest aim an answer that is out alone counts as lost, no longer as a sign.
     static final double LOST = 3;
     // Time between two requests risked on a node that does not progress; also the longest back-off from it.
@@ -50,6 +52,10 @@
     static final double ANSWER_TICKS = 4;
     // A request that no node was given is given up by this part of its time: its client may come again.
     static final double HOLD_PART = 0.45;
+    // Part of a limit's slack that instances may spend at their start, all hosts together; the rest of it is
+    // for what is late on its way. It is paid back by this part of the rate, before the next start is likely.
+    static final double LOAN = 0.75;
+    static final double PAY_BACK = 0.25;
     // News of use is averaged over this time, a few periods of such news.
     static final double NEWS_MEMORY = 5_000;
     // Pause before the list is asked again after a failure; doubles up to the second figure.
@@ -63,7 +69,7 @@
     private final Settings settings;
     private final Rules rules;
     private final Random random;
-    private final double bornAt, shortestAim;
+    private final double startedAt, shortestAim;
     private final Map<String, RequestClass> classes = new LinkedHashMap<>();
     private final Map<String, Plan> plans = new LinkedHashMap<>();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -87,11 +93,14 @@
     private long orders, planStamp;
 
     /** Starts an instance that knows nothing but its settings; call {@link #start} next. */
-    public Control(Settings settings, long seed, double now) {
+    public Control(Settings settings, long seed, double now) { this(settings, seed, now, now); }
+
+    /** The same; a life before, if any, had ended by {@code startedAt}: limits fill since then. */
+    public Control(Settings settings, long seed, double now, double startedAt) {
         this.settings = settings;
         this.rules = settings.rules();
         this.random = new Random(seed * 0x9E3779B97F4A7C15L);   // hosts with near seeds must not draw alike
-        this.bornAt = now;
+        this.startedAt = startedAt;
         this.now = now;
         this.mostTries = settings.maxAttempts();
         require(settings.hosts() > 0, "hosts must be at least 1");
@@ -215,48 +224,6 @@
 
     private record Due(double at, Request request) { }
 
-    private static final class Request {
-        Arrival in;
-        RequestClass kind;
-        Volume volume;
-        long order;
-        double luck, arrived, aimAt, answerAt, holdUntil, startTag, finishTag, worth, retryAt;
-        double maybeRanSince = -1;
-        Node maybeRanAt;
-        Attempt flying;
-        int tries;
-        boolean late, isHeld, streaming, tokensSpent, reached;
-
-        boolean proved() { return maybeRanSince < 0 && flying == null; }
-    }
-
-    private static final class Attempt {
-        Request request;
-        Node node;
-        double sentAt, heardAt;
-        boolean wide;
-    }
-
-    /** Requests of one cell that wait here: those that can meet their aim, then those that cannot. */
-    private static final class Held {
-        private static final Comparator<Request> BY_FINISH = Comparator
-            .<Request>comparingDouble(r -> r.finishTag).thenComparingLong(r -> r.order);
-        final TreeSet<Request> onTime = new TreeSet<>(BY_FINISH);
-        final TreeSet<Request> late = new TreeSet<>(BY_FINISH);
-
-        int size() { return onTime.size() + late.size(); }
-
-        void add(Request r) {
-            (r.late ? late : onTime).add(r);
-            r.isHeld = true;
-        }
-
-        void remove(Request r) {
-            (r.late ? late : onTime).remove(r);
-            r.isHeld = false;
-        }
-    }
-
     private Held heldFor(Request r) { return held.computeIfAbsent(pinnedCell(r), c -> new Held()); }
 
     private static int pinnedCell(Request r) {
@@ -318,13 +285,6 @@
         heldFor(r).add(r);
     }
 
-    /** Requests of one key in an ordered class: who is next, and until when the key rests. */
-    private static final class KeyTurn {
-        final ArrayDeque<Request> waiting = new ArrayDeque<>();
-        int flying;
-        double restUntil;
-    }
-
     private boolean hasTurn(Request r) {
         if (!r.kind.ordered() || r.in.key() == null) return true;
         KeyTurn turn = keyTurns.get(r.in.key());
@@ -334,7 +294,7 @@
     // ---------------------------------------------------------------- tags
 
     /** A flow of the design: a volume at this host. */
-    private final class Volume {
+    final class Volume {
         final Plan plan;
         final int hosts;
         final Gate gate;
@@ -483,25 +443,32 @@
     }
 
     /**
-     * The limit gate: this host's even part of the plan's store. It starts empty, since an instance just
-     * started cannot know what its life before has drawn, and it never counts on the slack.
+     * The limit gate: this host's even part of the plan's store. An instance just started cannot know what
+     * its life before has drawn, up to the moment this one was started: it starts with a loan on the rule's
+     * slack only, and pays it back. Guards against a fleet that refuses its first seconds when it starts.
      */
     private final class Gate {
         final double rate, burst;
-        double level, at = bornAt;
+        double level, owed, at = startedAt;
 
         Gate(Plan plan, int hosts) {
             rate = plan.limitRate() / hosts / 1000;
             burst = plan.limitBurst() / hosts;
+            level = owed = Math.min(burst, LOAN * plan.limitSlack() / hosts);
         }
 
         /** The store was never empty: its level goes on from what the life or process before left. */
         void left(Double units) {
-            if (units != null) { level = Math.min(burst, units); at = now; }   // the level is as of now
+            if (units == null) return;
+            level = Math.min(burst, units);
+            owed = 0;
+            at = now;                      // the level is as of now
         }
 
         private double fill() {
-            level = Math.min(burst, level + (now - at) * rate);
+            double gained = (now - at) * rate, back = Math.min(owed, PAY_BACK * gained);
+            owed -= back;
+            level = Math.min(burst - owed, level + gained - back);
             at = now;
             return level;
         }
@@ -516,21 +483,23 @@
             if (rate > 0) level -= units;
         }
 
-        /** How long until the store holds these units. */
+        /** How long until the store holds these units, what is paid back meanwhile included. */
         double wait(double units) {
-            return allows(units) ? 0 : (units - level) / rate;
+            if (allows(units)) return 0;
+            double lacks = units - level;
+            return (lacks + Math.min(owed, lacks * PAY_BACK / (1 - PAY_BACK))) / rate;
         }
 
         /** True when the store cannot hold these units before the aim is missed. */
         boolean hopeless(double units, double by) {
-            return rate > 0 && !allows(units) && level + (by - now) * rate < units;
+            return rate > 0 && wait(units) > by - now;
         }
     }
 
     // ---------------------------------------------------------------- nodes
 
     /** One storage node as this host sees it. */
-    private final class Node {
+    final class Node {
         final String id;
         final String zone;
         final int cell;
@@ -620,7 +589,8 @@
         private boolean youngTakes(Request r) {
             double sent = sentWithin(), part = youngPart();
             if (sent + r.in.units() <= part) return true;
-            return part < settings.unitMean() && sent == 0 && !r.late
+            boolean free = sent == 0 || flying.isEmpty() && sent < SECOND * settings.unitMean();
+            return part < settings.unitMean() && free && !r.late
                 && r.luck < LOT * ramp() * rules.fallMultiple();
         }
 
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -72,6 +72,11 @@
 
     /** The scheduler of the platform. */
     static Scheduler of(Config config, EventLoop loop, Ticker ticker) {
+        return of(config, loop, ticker, ticker.now());
+    }
+
+    /** The same in a process that has run since {@code startedAt}; whoever had its name before had ended by then. */
+    static Scheduler of(Config config, EventLoop loop, Ticker ticker, double startedAt) {
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
         double killed = KILLED_AFTER + Math.min(LONGEST_COUNTED, config.settings().classes().stream()
             .mapToDouble(RequestClass::deadline).max().orElse(0));
@@ -80,8 +85,8 @@
         loop.submit(() -> {
             Pools pools = new Pools(loop, ticker,
                 new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), RespBackend::codec);
-            Core core = scheduler.core = new Core(new Control(config.settings(), config.seed(), ticker.now()), ticker,
-                new RespBackend(pools, ticker));
+            Core core = scheduler.core = new Core(
+                new Control(config.settings(), config.seed(), ticker.now(), startedAt), ticker, new RespBackend(pools, ticker));
             core.learn(config.known().members(), true, true);
             scheduler.listAt = config.discovery();
             core.start(scheduler.watch(config.discovery(), config.known().version()));
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -50,8 +50,9 @@
             settings = config.settings();
             address = config.listen();
             operations = config.operations();
+            double startedAt = ticker.now();
             RespWarmup.run(settings, config.seed());
-            scheduler = Scheduler.of(config, loop, ticker);
+            scheduler = Scheduler.of(config, loop, ticker, startedAt);
         }
         Management management = operations == null || operations.mgmt() == null ? null
             : manage(scheduler, operations.mgmt());
