--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -184,11 +184,11 @@
         return flush();
     }
 
-    /** The units left in this host's part of each limited volume's store. */
+    /** The units left in this host's part of each limited volume's store, less what is owed of its loan. */
     public Map<String, Double> limitLevels() {
         Map<String, Double> levels = new TreeMap<>();
         volumes.forEach((name, v) -> {
-            if (v.plan.limitRate() > 0) levels.put(name, v.gate.fill());
+            if (v.plan.limitRate() > 0) levels.put(name, v.gate.fill() - v.gate.owed);
         });
         return levels;
     }
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -291,6 +291,18 @@
         assertTrue(first > 0, "a host that starts need not refuse its first request");
     }
 
+    @Test void aLoanStillOwedIsTakenOffWhatIsHandedOver() {
+        Rig rig = Rig.ready();
+        rig.ask("a", "read", "limited", "v", 2, 0);       // 4.5 lent, 2 spent
+        assertEquals(-2.0, rig.control.limitLevels().get("v"), 1e-9, "or the next life would keep what was lent");
+    }
+
+    @Test void aLimitFillsFromTheStartOfTheProcess() {
+        Control c = new Control(Rig.settings(false, Rig.RULES), 1, 50_000, 49_600);   // 8 units at 20 a second
+        c.on(50_000, new Arrival("a", "read", "limited", null, 52_000, "v", 1, 0, 1));
+        assertEquals(8.0, c.limitLevels().get("v"), 1e-9, "with the loan, less what is owed of it");
+    }
+
     @Test void limitIsKeptByItsEvenPartAndARestartBeginsWithALoan() {
         Rig rig = Rig.ready();                            // burst 24 and 20 a second over two hosts: 12 and 10
         double start = rig.now, sent = 0;
