Watch the node list in both modes and renew a pushed watch in the core

There lists are pushed (settings.discovery is automatic), the module says Subscribe only where lists must be asked (Control.start), and on the platform nothing else started DiscoveryWatch (Scheduler.of(Config,...)); a log of such a run has no line of discovery's at all.

Change: ListWatch in the core begins every watch, at the start and when the list moves; a pushed one is renewed there after 0.1 s doubling to 1 s, an asked one when the module says so. The xDS special case goes. A log line when SIGHUP is ignored.

--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -31,6 +31,8 @@
         }
     }
 
+    // How the node list comes: pushed to an agent on this machine, or asked of one service for all schedulers.
+    private static final java.util.List<String> LISTS = java.util.List.of("automatic", "subscribe");
     private static final int SOCKETS = 1024;
     private static final double DIAL_TIMEOUT = 250;
     private static final double IDLE_CLOSE = 15_000;
@@ -85,6 +87,10 @@
         for (String key : new String[] {"ceilings", "contract", "extra"}) {
             object(map, "settings.", key);
         }
+        if (!(map.get("discovery") instanceof String mode) || !LISTS.contains(mode)) {
+            throw new Bad("settings.discovery" + (map.get("discovery") == null ? " is missing"
+                : " is '" + map.get("discovery") + "'") + "; it is one of " + String.join(", ", LISTS));
+        }
         java.util.List<?> classes = (java.util.List<?>) map.get("request_classes");
         for (int i = 0; i < classes.size(); i++) {
             String at = "settings.request_classes[" + i + "].";
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -47,6 +47,7 @@
     private Front front;
     private Core core;
     private InetSocketAddress listAt;
+    private boolean pushed;
     private Ledger ledger;
     private NodeRecords nodes;
     private double serveOn = LISTEN_ON, answerBy = Double.POSITIVE_INFINITY;
@@ -89,7 +90,8 @@
                 new Control(config.settings(), config.seed(), ticker.now(), startedAt), ticker, new RespBackend(pools, ticker));
             core.learn(config.known().members(), true, true);
             scheduler.listAt = config.discovery();
-            core.start(scheduler.watch(config.discovery(), config.known().version()));
+            scheduler.pushed = !config.settings().listMustBeAsked();
+            core.start(scheduler.watch(config.discovery(), config.known().version()), scheduler.pushed);
             scheduler.front = new RespFront(core, ticker, config.settings(), clients(config.sockets()));
             scheduler.tuning = new Retune.Tuning(config.settings().classes(), config.settings().maxAttempts());
         }).syncUninterruptibly();
@@ -132,11 +134,8 @@
             core.learn(known, true, true);
             directory = poll(config);
         }
-        core.start(directory);
+        core.start(directory, false);   // xDS by REST must be asked, whatever the settings say of the platform's list
         core.restoreLimits(limits);
-        if (xds.server() != null && !config.settings().listMustBeAsked()) {
-            directory.watch();   // xDS by REST must be asked, whatever the settings say of the platform's list
-        }
         front = new ObjectFront(core, ticker, config.options(), ledger);
     }
 
@@ -184,7 +183,7 @@
     }
 
     private DiscoveryWatch watch(InetSocketAddress discovery, long version) {
-        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version);
+        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version, pushed);
     }
 
     private void keep(List<Member> members) {
@@ -205,9 +204,11 @@
      */
     void reload(Config config) {
         loop.execute(() -> {
-            if (!config.discovery().equals(listAt)) {
+            boolean nowPushed = !config.settings().listMustBeAsked();
+            if (!config.discovery().equals(listAt) || nowPushed != pushed) {
                 listAt = config.discovery();
-                core.follow(watch(listAt, -1));
+                pushed = nowPushed;
+                core.follow(watch(listAt, -1), pushed);
             }
             retune(new Retune.Tuning(config.settings().classes(), config.settings().maxAttempts()));
         });
@@ -235,10 +236,10 @@
     void reload(ObjectConfig config) {
         loop.execute(() -> {
             if (config.xds().server() == null) {
-                core.follow(() -> { });
+                core.follow(() -> { }, false);
                 core.learn(config.xds().inline(), true, false);
             } else {
-                core.follow(poll(config));
+                core.follow(poll(config), false);
             }
         });
     }
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -19,6 +19,7 @@
 import kelphollow.transport.WheelTicker;
 import org.kohsuke.args4j.Option;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** {@code serve}: the scheduler. Listens once it is warm and leaves on SIGTERM. */
 public final class Serve implements Main.Command {
@@ -62,7 +63,10 @@
         if (management != null) {
             management.listening(System.currentTimeMillis());
         }
-        Signal.handle(new Signal("HUP"), signal -> reload(scheduler));
+        if (Signal.handle(new Signal("HUP"), signal -> reload(scheduler)) == SignalHandler.SIG_IGN) {
+            LOG.warning("SIGHUP is ignored, as whoever started this program left it (nohup does): new configurations"
+                + " will not be read");
+        }
         leaveOnTerm(scheduler, settings, management);
         group.terminationFuture().sync();
         return 1;
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -42,7 +42,7 @@
             members.add(new Member(new NodeEntry("n" + i, "", i, Phase.HEALTHY, 0), new InetSocketAddress(0)));
         }
         core.learn(members, true, true);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         EmbeddedChannel client = new EmbeddedChannel();
         new RespFront(core, world, settings, 1).accept(client);
         int served = 0;
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -32,7 +32,7 @@
     /** Laid over the node list: {@code members} holds what discovery told, the module hears it with the bans. */
     private final Bans bans = new Bans();
     private volatile boolean heard;
-    private Directory directory = () -> { };
+    private final ListWatch list;
     private boolean busy;
     private long ids;
     /** When the next beat is due, and for how long in all the loop has stood still so far. */
@@ -42,11 +42,15 @@
         this.control = control;
         this.ticker = ticker;
         this.backend = backend;
+        this.list = new ListWatch(ticker);
     }
 
-    /** Starts the module; its list comes from this directory from now on. */
-    public void start(Directory from) {
-        directory = from;
+    /**
+     * Starts the module; its list comes from this directory from now on, which is watched at once. A {@code pushed}
+     * list is watched on without the module, any other one is asked for again when the module says so.
+     */
+    public void start(Directory from, boolean pushed) {
+        list.follow(from, pushed);
         beatAt = now();
         beat();
         busy = true;
@@ -61,10 +65,11 @@
     }
 
     /** From now on the list comes from another directory, which is asked at once; all that is open goes on. */
-    public void follow(Directory next) {
-        directory.stop();
-        directory = next;
-        tell(new ListMoved());
+    public void follow(Directory next, boolean pushed) {
+        list.follow(next, pushed);
+        if (!pushed) {
+            tell(new ListMoved());
+        }
     }
 
     /** New classes and attempts bind from now on; requests under way keep their class. */
@@ -132,6 +137,9 @@
 
     public void learn(List<Member> news, boolean whole, boolean persisted) {
         heard |= !persisted;
+        if (!persisted) {
+            list.heard();
+        }
         List<String> retired = new ArrayList<>();
         if (whole) {
             Map<String, Member> before = new HashMap<>(members);
@@ -222,8 +230,11 @@
         change.release().forEach(this::lift);
     }
 
+    /** The watch of the list has ended; what was told before stands. */
     public void listFailed() {
-        tell(new ListFailed());
+        if (list.failed()) {
+            tell(new ListFailed());
+        }
     }
 
     boolean wantsWork(String node) {
@@ -308,7 +319,7 @@
             } else if (action instanceof Cancel a) {
                 cancel(a);
             } else if (action instanceof Subscribe) {
-                directory.watch();
+                list.ask();
             }
         }
     }
--- /dev/null
+++ b/src/main/java/kelphollow/routing/ListWatch.java
@@ -0,0 +1,60 @@
+package kelphollow.routing;
+
+/**
+ * Keeps the watch of the node list going. A list that must be asked for is one service's work for all schedulers, so
+ * the module says when to ask again after a failure. A pushed one is had from an agent on this machine, at no cost and
+ * for this scheduler alone: nobody decides anything there, and the watch is renewed here. Guards against a scheduler
+ * that lives on the list it was started with because no one asked. Lives on the core's event loop.
+ */
+final class ListWatch {
+    // The agent serves this scheduler alone, so its pauses need no jitter: they double from the first to the last.
+    private static final double FIRST_PAUSE = 100;
+    private static final double LONGEST_PAUSE = 1_000;
+
+    private final Ticker ticker;
+    private Directory directory = () -> { };
+    private boolean pushed;
+    private double pause = FIRST_PAUSE;
+    private Ticker.Timeout renewal;
+
+    ListWatch(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /** The list comes from here from now on, and is watched at once; whatever came before tells nothing more. */
+    void follow(Directory next, boolean isPushed) {
+        cancel();
+        directory.stop();
+        directory = next;
+        pushed = isPushed;
+        pause = FIRST_PAUSE;
+        directory.watch();
+    }
+
+    /** The module asks for the list. */
+    void ask() {
+        directory.watch();
+    }
+
+    /** A list has come: the next failure is a first one. */
+    void heard() {
+        pause = FIRST_PAUSE;
+    }
+
+    /** The watch has ended. Returns whether the module must say when it begins again. */
+    boolean failed() {
+        if (pushed) {
+            cancel();
+            renewal = ticker.after(pause, directory::watch);
+            pause = Math.min(LONGEST_PAUSE, 2 * pause);
+        }
+        return !pushed;
+    }
+
+    private void cancel() {
+        if (renewal != null) {
+            renewal.cancel();
+            renewal = null;
+        }
+    }
+}
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -51,13 +51,18 @@
 
     /** The platform's scheduler, which knows these nodes: shard i is held by the i-th. */
     static Bench resp(InetSocketAddress discovery, InetSocketAddress... nodes) throws Exception {
+        return respWith(discovery == null ? "automatic" : "subscribe", discovery, nodes);
+    }
+
+    /** The same; {@code lists} is the mode in which the node list comes. */
+    static Bench respWith(String lists, InetSocketAddress discovery, InetSocketAddress... nodes) throws Exception {
         Bench bench = new Bench();
         Map<String, Object> settings = part(example(), "settings");
         List<Member> members = new ArrayList<>();
         for (InetSocketAddress node : nodes) {
             members.add(new Member(new NodeEntry("n" + members.size(), "a", members.size(), Phase.HEALTHY, 0), node));
         }
-        settings.put("discovery", discovery == null ? "automatic" : "subscribe");
+        settings.put("discovery", lists);
         bench.config = new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1,
             SOCKETS, 250, 12_000, new Members(1, true, members), Config.settings(settings), Config.Operations.NONE);
         bench.start(Scheduler.of(bench.config, bench.loop, bench.ticker));
--- /dev/null
+++ b/src/test/java/kelphollow/program/HangUpTest.java
@@ -0,0 +1,42 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A program started by something that ignores SIGHUP inherits that, and never sees the signal. */
+@Timeout(60)
+class HangUpTest {
+    @TempDir Path folder;
+
+    /** What is logged until the program serves, when the shell that starts it has said {@code before}. */
+    private String log(String before) throws IOException, InterruptedException {
+        Path file = Files.writeString(folder.resolve("c.json"),
+            Files.readString(Path.of("deploy/objects.json")).replaceFirst("\"listen\": \"[^\"]*\"", "\"listen\": \"127.0.0.1:0\""));
+        Process program = new ProcessBuilder("sh", "-c", before + "exec \"$0\" \"$@\"",
+            System.getProperty("java.home") + "/bin/java", "-cp", System.getProperty("java.class.path"),
+            Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true).start();
+        StringBuilder log = new StringBuilder();
+        try (BufferedReader said = program.inputReader()) {
+            for (String line; (line = said.readLine()) != null; ) {
+                log.append(line).append('\n');
+                if (line.contains("SIGHUP")) {
+                    break;
+                }
+            }
+        } finally {
+            program.destroyForcibly().waitFor();
+        }
+        return log.toString();
+    }
+
+    @Test void theLogSaysAtTheStartThatSighupIsIgnored() throws Exception {
+        assertTrue(log("trap '' HUP; ").contains("WARNING SIGHUP is ignored"));
+    }
+}
--- a/src/test/java/kelphollow/program/ProgramTest.java
+++ b/src/test/java/kelphollow/program/ProgramTest.java
@@ -36,6 +36,8 @@
             {"\"read\": \"dump-read\"", "\"read\": \"dump-write\"", "objects.classes.read"},
             {"\"bytes_per_unit\"", "\"byte_per_unit\"", "objects.byte_per_unit is not known"},
             {"\"request_classes\"", "\"classes\"", "settings.request_classes"},
+            {"\"discovery\": \"automatic\",", "", "settings.discovery is missing"},
+            {"\"discovery\": \"automatic\"", "\"discovery\": \"pull\"", "settings.discovery is 'pull'"},
             {"\"rate\": 40.0", "\"rate\": -1", "rate of plan padrao"}, {"\"port_value\": 9102", "\"port_value\": 0", "port_value"},
             {"{\n  \"name\"", "{ name", "--config"}}) {
             assertTrue(good.contains(fault[0]), fault[0]);
--- a/src/test/java/kelphollow/program/ReloadTest.java
+++ b/src/test/java/kelphollow/program/ReloadTest.java
@@ -2,9 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
-import com.sun.net.httpserver.HttpServer;
 import java.io.BufferedReader;
-import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -13,10 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -24,41 +18,8 @@
 /** A new configuration under load, and what the program does about the service it names. */
 @Timeout(20)
 class ReloadTest {
-    /** A discovery that notes how it is asked and answers each call when the test says so. */
-    private static final class Discovery implements AutoCloseable {
-        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
-        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
-        private final ExecutorService threads = Executors.newCachedThreadPool();
-        private final HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-
-        Discovery() throws IOException {
-            server.createContext("/catalog/members", exchange -> {
-                asked.add(exchange.getRequestURI().toString());
-                try {
-                    byte[] answer = answers.take().getBytes(StandardCharsets.UTF_8);
-                    exchange.sendResponseHeaders(200, answer.length);
-                    exchange.getResponseBody().write(answer);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-                exchange.close();
-            });
-            server.setExecutor(threads);
-            server.start();
-        }
-
-        InetSocketAddress address() {
-            return server.getAddress();
-        }
-
-        @Override public void close() {
-            threads.shutdownNow();
-            server.stop(0);
-        }
-    }
-
     @Test void aNewDiscoveryThatSaysNothingIsAskedAgainSoon() throws Exception {
-        try (Discovery old = new Discovery(); Discovery next = new Discovery(); Bench bench = Bench.resp(old.address())) {
+        try (StandInDiscovery old = new StandInDiscovery(); StandInDiscovery next = new StandInDiscovery(); Bench bench = Bench.resp(old.address())) {
             bench.reload(next.address());
             assertEquals("/catalog/members", next.asked.poll(10, TimeUnit.SECONDS));
             bench.ticker.advance(3_200);   // its news counts as told after 4 s
@@ -94,7 +55,7 @@
     }
 
     @Test void theNewDiscoveryIsAskedForTheWholeListAndTheOldOneNoMore() throws Exception {
-        try (Discovery old = new Discovery(); Discovery next = new Discovery()) {
+        try (StandInDiscovery old = new StandInDiscovery(); StandInDiscovery next = new StandInDiscovery()) {
             try (Bench bench = Bench.resp(old.address())) {
                 assertEquals("/catalog/members?index=1&wait=20000", old.asked.poll(10, TimeUnit.SECONDS));
                 bench.reload(next.address());
--- a/src/test/java/kelphollow/routing/Harness.java
+++ b/src/test/java/kelphollow/routing/Harness.java
@@ -14,18 +14,21 @@
     final List<Attempt> sent = new ArrayList<>();
     final List<String> retired = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
-    /** The module's own wake-ups, run by {@link #pass}; the attempts' time-outs (a second and more) are left out. */
-    private final List<Runnable> timers = new ArrayList<>();
+    private record Timer(double at, Runnable task) { }
+
+    /** Wake-ups, run by {@link #pass} when due; the attempts' time-outs (over 1.5 s) are left out. */
+    private final List<Timer> timers = new ArrayList<>();
     private final Ticker ticker = new Ticker() {
         @Override public double now() {
             return now;
         }
 
         @Override public Timeout after(double millis, Runnable task) {
-            if (millis < 1_000) {
-                timers.add(task);
+            Timer timer = new Timer(now + millis, task);
+            if (millis <= 1_500) {
+                timers.add(timer);
             }
-            return () -> { };
+            return () -> timers.remove(timer);
         }
     };
     final Core core;
@@ -70,9 +73,9 @@
 
     void pass(double millis) {
         now += millis;
-        List<Runnable> due = new ArrayList<>(timers);
-        timers.clear();
-        due.forEach(Runnable::run);
+        List<Timer> due = timers.stream().filter(t -> t.at <= now).toList();
+        timers.removeAll(due);
+        due.forEach(t -> t.task.run());
     }
 
     List<String> sentTo() {
--- /dev/null
+++ b/src/test/java/kelphollow/routing/ListWatchTest.java
@@ -0,0 +1,64 @@
+package kelphollow.routing;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.List;
+import kelphollow.decision.ControlApi.Phase;
+import org.junit.jupiter.api.Test;
+
+/** Who begins the watch of the node list, and who begins it again. */
+class ListWatchTest {
+    private final Harness h = new Harness();
+    private int watches, stops;
+    private final Directory directory = new Directory() {
+        @Override public void watch() {
+            watches++;
+        }
+
+        @Override public void stop() {
+            stops++;
+        }
+    };
+
+    @Test void anyListIsWatchedAtTheStartThoughTheModuleDoesNotAsk() {
+        h.core.start(directory, true);
+        assertEquals(1, watches, "pushed");
+        h.core.follow(directory, false);
+        assertTrue(watches > 1, "asked");
+        assertEquals(1, stops, "the one before ends");
+    }
+
+    @Test void aPushedWatchIsRenewedByPausesThatDoubleUntilAListComes() {
+        h.core.start(directory, true);
+        for (int pause : new int[] {100, 200, 400, 800}) {
+            int before = watches;
+            h.core.listFailed();
+            h.pass(pause);
+            assertEquals(before + 1, watches, "after " + pause + " ms");
+        }
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
+        h.core.listFailed();
+        int before = watches;
+        h.pass(100);
+        assertEquals(before + 1, watches, "a list makes the next failure a first one");
+    }
+
+    @Test void anAskedWatchIsRenewedWhenTheModuleSaysSo() {
+        h.core.start(directory, false);
+        assertEquals(1, watches);
+        h.core.listFailed();
+        assertEquals(1, watches, "all schedulers share the service: the module draws a pause");
+        for (int i = 0; i < 160; i++) {
+            h.pass(10);
+        }
+        assertEquals(2, watches);
+    }
+
+    @Test void aWatchThatWasReplacedIsNotRenewed() {
+        h.core.start(directory, true);
+        h.core.listFailed();
+        h.core.follow(() -> { }, true);
+        h.pass(1_000);
+        assertEquals(1, watches);
+    }
+}
--- a/src/test/java/kelphollow/routing/MaintenanceTest.java
+++ b/src/test/java/kelphollow/routing/MaintenanceTest.java
@@ -20,7 +20,7 @@
 
     @Test void aBannedNodeGetsNothingNewEvenWhenDiscoveryCallsItReady() {
         core.learn(List.of(Harness.node("a", Phase.HEALTHY), Harness.node("b", Phase.HEALTHY)), true, false);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         assertTrue(core.ban("a"));
         assertEquals(List.of("a"), h.retired, "its idle connections are closed");
         core.learn(List.of(Harness.node("a", Phase.HEALTHY), Harness.node("b", Phase.HEALTHY)), true, false);
@@ -32,7 +32,7 @@
 
     @Test void anIdThatNoListNamesIsRefused() {
         core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         assertFalse(core.ban("zz"));
         assertFalse(core.lift("zz"));
         assertTrue(core.lift("a"), "a known node that is not banned may be freed again");
@@ -41,7 +41,7 @@
 
     @Test void aLiftedNodeComesBackColdAndServesAgain() {
         core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         core.ban("a");
         core.ban("a");
         h.now += 5_000;
@@ -56,7 +56,7 @@
 
     @Test void bansOfAnotherProcessAreFollowedAndWaitForTheirNode() {
         core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         core.adoptBans(Set.of("a", "later"));
         assertEquals(Set.of("a", "later"), core.bans());
         assertFalse(core.wantsWork("a"));
--- a/src/test/java/kelphollow/routing/StandstillTest.java
+++ b/src/test/java/kelphollow/routing/StandstillTest.java
@@ -44,7 +44,7 @@
         Core core = new Core(new Control(new Settings(0, 1, "", 1, 3, 100, true, false, 0, 2, 0.4, 0.05, List.of(read),
             List.of(plan), new Rules(250, 0.25, 10_000, 2, 1000, 6, 0, 0, 0, 0, 0)), 1, now), ticker, backend);
         core.learn(List.of(new Member(new NodeEntry("n", "", 0, Phase.HEALTHY, 0), new InetSocketAddress(1))), true, false);
-        core.start(() -> { });
+        core.start(() -> { }, false);
         core.take(new Arrival("", "read", "free", "k", now + 2_000, "v", 1, 0, 1), null, new Caller() {
             @Override public void served(Object answer) { }
 
