Serve clients until 0.5 s before the kill; refuse keyed requests without a key

Line at fault: Scheduler.LAST_REQUESTS, 1.3 s before the kill, though clients have no other scheduler and what comes later is lost to them.

Now 0.5 s before it (0.15 s before the last answers).

--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -39,8 +39,9 @@
     private static final double KILLED_AFTER = 700;
     // So long before that all has been answered, with time for what is slow on its way.
     private static final double LAST_ANSWERS = 350;
-    // And so long before it connections that are owed nothing close: enough for most requests to be served.
-    private static final double LAST_REQUESTS = 1_300;
+    // And so long before it connections that are owed nothing close. Clients keep using those they have for as long as
+    // they stay open and have no other scheduler: what would come later is lost to them, so even a short chance is taken.
+    private static final double LAST_REQUESTS = LAST_ANSWERS + 150;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
@@ -223,7 +224,7 @@
         Retune.Step first = steps.get(0), then = steps.get(1);
         core.retune(first.classes(), first.maxAttempts());
         if (front instanceof RespFront resp) {
-            resp.know(first.classes().stream().map(RequestClass::name).toList());
+            resp.know(first.classes());
         }
         tuning = new Retune.Tuning(then.classes(), then.maxAttempts());
         settling = ticker.after(then.at() - ticker.now(), () -> {
--- a/src/main/java/kelphollow/program/Train.java
+++ b/src/main/java/kelphollow/program/Train.java
@@ -49,7 +49,7 @@
             Scheduler.of(config, loop, ticker).listen(self);
             try (Socket client = new Socket(self.getAddress(), self.getPort())) {
                 client.setSoTimeout(GUARD_MILLIS);
-                String values = "c=" + settings.classes().get(0).name() + ",t=" + settings.plans().get(0).name()
+                String values = "k=k,c=" + settings.classes().get(0).name() + ",t=" + settings.plans().get(0).name()
                     + ",d=1000,volume=v,units=1,shard=0,hosts=1";
                 client.getOutputStream().write(("*1\r\n$4\r\nPING\r\n*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$"
                     + values.length() + "\r\n" + values + "\r\n").getBytes(StandardCharsets.US_ASCII));
--- a/src/main/java/kelphollow/protocol/resp/RespBackend.java
+++ b/src/main/java/kelphollow/protocol/resp/RespBackend.java
@@ -183,7 +183,7 @@
 
     private static Result result(Outcome outcome, byte[] value, Map<String, Double> figures) {
         Double inFlight = figures.get("inflight");
-        return new Result(outcome, value, false, figures.getOrDefault("cost", 0.0), figures.getOrDefault("used", 0.0) - 1,
+        return new Result(outcome, value, false, figures.getOrDefault("cost", 0.0), figures.getOrDefault("used", -1.0),
             inFlight == null ? Map.of() : Map.of("inFlight", inFlight));
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/RespCommand.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCommand.java
@@ -85,7 +85,8 @@
         return Resp.array(words);
     }
 
-    private String word(String key) throws Malformed {
+    /** The value of a name that must be there. */
+    String word(String key) throws Malformed {
         String value = values.get(key);
         if (value == null || value.isEmpty()) {
             throw new Malformed("'" + key + "' is missing");
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -11,14 +11,18 @@
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import kelphollow.decision.ControlApi.Arrival;
+import kelphollow.decision.ControlApi.Effect;
+import kelphollow.decision.ControlApi.RequestClass;
 import kelphollow.decision.ControlApi.Settings;
 import kelphollow.routing.Caller;
 import kelphollow.routing.Core;
@@ -45,7 +49,7 @@
     private final Core core;
     private final Ticker ticker;
     private final int mostClients;
-    private final Set<String> classes = new HashSet<>();
+    private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> plans = new HashSet<>();
     /** In the order of their last sign of life. */
     private final Set<Client> clients = new LinkedHashSet<>();
@@ -58,14 +62,14 @@
         this.core = core;
         this.ticker = ticker;
         this.mostClients = mostClients;
-        settings.classes().forEach(c -> classes.add(c.name()));
+        know(settings.classes());
         settings.plans().forEach(p -> plans.add(p.name()));
         sweepLater();
     }
 
     /** Classes that new settings name are taken from now on; those taken before stay, for clients that lag. */
-    public void know(java.util.Collection<String> names) {
-        classes.addAll(names);
+    public void know(List<RequestClass> told) {
+        told.forEach(c -> classes.put(c.name(), c));
     }
 
     @Override public void accept(Channel channel) {
@@ -180,9 +184,13 @@
 
         private void take(Slot slot, RespCommand command) throws RespCommand.Malformed {
             Arrival facts = command.facts(ticker.now());
-            if (!classes.contains(facts.requestClass()) || !plans.contains(facts.plan())) {
+            RequestClass kind = classes.get(facts.requestClass());
+            if (kind == null || !plans.contains(facts.plan())) {
                 throw new RespCommand.Malformed("class or plan is not known");
             }
+            if (kind.effect() == Effect.KEYED) {
+                command.word("k");         // without it no node could drop a repeat
+            }
             if (!openIds.add(command.idText())) {
                 throw new RespCommand.Malformed("a request with this id is open");
             }
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -49,7 +49,7 @@
         for (int i = 0; i < REQUESTS && System.nanoTime() < end; i++) {
             var kind = settings.classes().get(i % settings.classes().size());
             var plan = settings.plans().get(i % settings.plans().size());
-            String values = "c=" + kind.name() + ",t=" + plan.name() + ",d=1000,volume=" + i % 40
+            String values = "k=" + i + ",c=" + kind.name() + ",t=" + plan.name() + ",d=1000,volume=" + i % 40
                 + ",units=2,shard=" + i % NODES + ",hosts=2";
             client.writeInbound(ascii("*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$" + values.length() + "\r\n"
                 + values + "\r\n"));
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -186,6 +186,36 @@
         assertEquals(first, rig.nodeOf("k"));
     }
 
+    @Test void aKeyedRequestIsRepeatedWithinItsWindowAndNeverAfter() {
+        for (double gone : new double[] {3_000, 3_990}) {
+            Rig rig = Rig.ready();
+            rig.ask("k", "keyed", "free", "v", 1, 0, "chunk", rig.now + 20_000, 1);
+            rig.pass(rig.now + gone);
+            rig.end("k", Outcome.RESET, gone);             // it may have run; nodes forget its key at 4,000 ms
+            rig.pass(rig.now + 500);
+            assertEquals(gone < 3_900 ? 2 : 1, rig.sent().size(), "reset after " + gone);
+            if (gone > 3_900) assertEquals(List.of("failed k"), rig.answered(), "it may not be called harmless");
+        }
+    }
+
+    @Test void plansWithoutReserveWithoutLimitOrWithNeitherServe() {
+        for (Plan plan : List.of(new Plan("p", 10, 0, 1, 1, 20, 24, 6), new Plan("p", 10, 12, 1, 1, 0, 0, 0),
+            new Plan("p", 10, 0, 1, 1, 0, 0, 0))) {
+            Settings s = Rig.settings(false, Rig.RULES);
+            Control control = new Control(new Settings(0, 2, "a", 1, 4, 10_000, true, false, 1000, 2, 0.4, 0.05, s.classes(),
+                List.of(plan), s.rules()), 7, 0);
+            control.start();
+            control.on(10_000, new NodeList(List.of(Rig.node("n0", 0, Phase.HEALTHY, 0)), true, false));
+            for (int i = 0; i < 40; i++) {                  // four times the plan's rate, answered at once
+                double at = 10_000 + i * 25;
+                List<Action> got = control.on(at, new Arrival("r" + i, "read", "p", null, at + 2_000, "v", 1, 0, 1));
+                boolean within = plan.limitRate() == 0 || i < 24;
+                assertTrue(!within || got.stream().anyMatch(a -> a instanceof Send), plan + " request " + i);
+                control.on(at + 10, new AttemptDone("r" + i, 0, "n0", Outcome.SERVED, 10, true, false, 0, 40, Map.of()));
+            }
+        }
+    }
+
     @Test void nothingNewGoesToADrainingNode() {
         Rig rig = Rig.ready();
         fill(rig);
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -63,6 +63,10 @@
             members.add(new Member(new NodeEntry("n" + members.size(), "a", members.size(), Phase.HEALTHY, 0), node));
         }
         settings.put("discovery", lists);
+        List<Object> classes = new ArrayList<>((List<?>) settings.get("request_classes"));
+        classes.add(Map.of("name", "keyed", "aim", 500.0, "deadline", 3000.0, "effect", "token", "dedup_scope", "cell",
+            "window", 4000.0, "worth", 2.0, "late_share", 0.1));
+        settings.put("request_classes", classes);
         bench.config = new Config("test", null, discovery == null ? new InetSocketAddress("127.0.0.1", 1) : discovery, 1,
             SOCKETS, 250, 12_000, new Members(1, true, members), Config.settings(settings), Config.Operations.NONE);
         bench.start(Scheduler.of(bench.config, bench.loop, bench.ticker));
@@ -112,11 +116,17 @@
         address = of.listen(new InetSocketAddress("127.0.0.1", 0));
     }
 
-    void leave(Runnable whenLeft) {
-        scheduler.leave(whenLeft);
+    void leave(Runnable whenLeft) throws InterruptedException {
+        term(whenLeft);
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    /** As at SIGTERM; the clock stands. */
+    void term(Runnable whenLeft) throws InterruptedException {
+        scheduler.leave(whenLeft);
+        loop.submit(() -> { }).sync();
+    }
+
     /** Returns when the store's writer has written all that it was given so far. */
     void written() throws Exception {
         CompletableFuture<StoreFault> done = new CompletableFuture<>();
