Join instances to a fleet: an authenticated line, drains and silent nodes told to all

The core lays the word of others over its list (cordon), as it does with bans; a node found silent elsewhere is tried by a trickle until it answers here (Doubted, 14 lines in Control).

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -156,6 +156,8 @@
             mostTries = Math.max(1, t.maxAttempts());
         } else if (event instanceof LimitsLeft l) {
             limitsLeft.putAll(l.levels());
+        } else if (event instanceof Doubted d) {
+            for (Node n : nodes.values()) n.doubt(d.nodes().contains(n.id));
         } else if (event instanceof ListMoved) {
             askAt = this.now;              // its news counts as told soon, whether it was asked for or not
             listRetry = LIST_RETRY;
@@ -193,6 +195,13 @@
         return levels;
     }
 
+    /** Nodes that failed to answer this instance itself, and have not answered since. */
+    public Set<String> silentNodes() {
+        Set<String> silent = new TreeSet<>();
+        for (Node n : nodes.values()) if (n.suspect() && !n.doubted) silent.add(n.id);
+        return silent;
+    }
+
     /** How many nodes and volumes it keeps anything of. */
     int nodesKnown() { return nodes.size(); }
 
@@ -511,7 +520,7 @@
         double bestAt = now, narrowedAt;
         double servedAt = now, sentAt = now, overtaken, trickleAt, errors;
         int failures;
-        boolean missed;
+        boolean missed, named, doubted;
 
         Node(NodeEntry e) {
             id = e.node();
@@ -559,6 +568,20 @@
 
         boolean suspect() { return failures > 0; }
 
+        /** Another's finding counts as one failure here, at the moment it is first told. */
+        void doubt(boolean isNamed) {
+            if (isNamed && !named && failures == 0) {
+                doubted = true;
+                failures = 1;
+                trickleAt = now + TRICKLE * random.nextDouble();
+            } else if (!isNamed && doubted) {
+                doubted = false;
+                failures = 0;
+                trickleAt = 0;
+            }
+            named = isNamed;
+        }
+
         double target() { return Math.min(NEAR_BEST * best, shortestAim * AIM_PART); }
 
         /**
@@ -629,7 +652,7 @@
         /** Learns from served answers only: a fast error must not look like a fast node. */
         void served(Attempt a, double took) {
             failures = 0;
-            missed = false;
+            missed = doubted = false;
             trickleAt = 0;
             errors *= 1 - LEARN;
             double units = Math.max(1, a.request.in.units()), each = took / units;
@@ -667,6 +690,7 @@
                 return;
             }
             failures++;
+            doubted = false;
             window = Math.max(WINDOW_FLOOR, window / 2);
             trickleAt = now + Math.min(TRICKLE, BACKOFF * Math.pow(2, Math.min(failures, 10)));
         }
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -69,6 +69,12 @@
     /** This instance ends soon: what is open at that time gets its final answer then. */
     public record Leaving(double by) implements Event { }
 
+    /**
+     * Nodes found silent elsewhere, all of them each time: each is tried by a trickle until it answers here, or until
+     * it is no longer named.
+     */
+    public record Doubted(java.util.Set<String> nodes) implements Event { }
+
     /** The list comes from another service from now on. */
     public record ListMoved() implements Event { }
 
--- a/src/main/java/kelphollow/ledger/Ledger.java
+++ b/src/main/java/kelphollow/ledger/Ledger.java
@@ -83,6 +83,11 @@
         return epoch;
     }
 
+    /** The next life's number will be above this one; from the loop, which does not wait. */
+    public void keepAbove(long number) {
+        after(new Batch().put(LIFE, EPOCH, Records.value("n", Math.max(number, epoch))));
+    }
+
     /** The last life of which something may be missing here, 0 if there is none. */
     public long lostUpTo() {
         return lostUpTo;
--- a/src/main/java/kelphollow/membership/Membership.java
+++ b/src/main/java/kelphollow/membership/Membership.java
@@ -354,8 +354,10 @@
             }
             case SUSPECT -> {
                 double least = settings.suspicionLeast() * Math.max(1, Math.log10(count() + 1)) * settings.period();
-                suspicions.put(n.name(), new Suspicion(now, least, least * settings.suspicionMost(),
-                    Math.max(1, Math.min(settings.confirmations(), count() - 1)), n.by()));
+                // As many can confirm as there are beside the suspect and its first accuser.
+                int confirmations = Math.min(settings.confirmations(), count() - 2);
+                suspicions.put(n.name(), new Suspicion(now, least, confirmations < 1 ? least
+                    : least * settings.suspicionMost(), Math.max(1, confirmations), n.by()));
                 if (before.state() != State.SUSPECT) {
                     out.add(new Event(Kind.SUSPECTED, n.name(), n.epoch(), why));
                 }
--- a/src/main/java/kelphollow/program/Main.java
+++ b/src/main/java/kelphollow/program/Main.java
@@ -25,6 +25,7 @@
         @SubCommand(name = "train", impl = Train.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
         @SubCommand(name = "store", impl = StoreCommand.class),
+        @SubCommand(name = "fleet", impl = FleetCommand.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
@@ -47,7 +48,8 @@
             err.println("kelphollow: " + e.getMessage());
             err.println("usage: java -jar kelphollow.jar serve [--config FILE] | adapter"
                 + " | check-config [--config FILE] | train --config FILE | version"
-                + " | store inspect|verify|dump|compact|repair (--config FILE | FOLDER FOLDER)");
+                + " | store inspect|verify|dump|compact|repair (--config FILE | FOLDER FOLDER)"
+                + " | fleet status --config FILE [--json]");
             return USAGE;
         }
         try {
--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -50,8 +50,17 @@
 
     /** {@code $TMPDIR}, the one place that can be written to, shared by both processes of an upgrade. */
     static Path bansFile() {
+        return inTmp("kelphollow-bans");
+    }
+
+    /** The same for an installation that runs several instances on one machine. */
+    static Path bansFile(String instance) {
+        return inTmp("kelphollow-bans-" + instance);
+    }
+
+    private static Path inTmp(String name) {
         String tmp = System.getenv("TMPDIR");
-        return Path.of(tmp == null || tmp.isEmpty() ? System.getProperty("java.io.tmpdir") : tmp, "kelphollow-bans");
+        return Path.of(tmp == null || tmp.isEmpty() ? System.getProperty("java.io.tmpdir") : tmp, name);
     }
 
     /** Takes the bans that an earlier process left, before the scheduler listens; shows that this one lives. */
@@ -147,6 +156,8 @@
     @Override public CompletionStage<String> call(MgmtLine.Call call) {
         return switch (call.verb()) {
             case STATUS -> CompletableFuture.completedFuture(status());
+            case FLEET_STATUS -> scheduler.onLoop(core -> scheduler.fleetStatus())
+                .thenApply(text -> text == null ? "NAK this instance is in no fleet" : "ACK " + text);
             case MAINT_ON -> scheduler.onLoop(core -> core.ban(call.node()) ? core.bans() : null)
                 .thenApplyAsync(bans -> bans == null ? "NAK no storage node is named " + call.node()
                     : keep(bans, "ACK " + call.node() + " is out"), own);
--- a/src/main/java/kelphollow/program/ObjectConfig.java
+++ b/src/main/java/kelphollow/program/ObjectConfig.java
@@ -12,7 +12,8 @@
 
 /** An operator's file for the object front, checked and with its defaults. Times are milliseconds. */
 record ObjectConfig(String name, InetSocketAddress listen, long seed, int sockets, int dialTimeout, double idleTime,
-                    double stall, Settings settings, ObjectFront.Options options, Xds xds, StoreConfig store) {
+                    double stall, Settings settings, ObjectFront.Options options, Xds xds, StoreConfig store,
+                    InetSocketAddress mgmt, FleetConfig fleet) {
     /** Where the cluster comes from: {@code inline} from the file, or by REST from {@code server}. */
     record Xds(String cluster, List<Member> inline, InetSocketAddress server, double refresh) { }
 
@@ -32,7 +33,7 @@
 
     static ObjectConfig read(Map<?, ?> json) throws Config.Bad {
         Config.known(json, "", "name", "listen", "seed", "sockets", "dial_timeout_ms", "idle_ms", "stall_ms", "settings",
-            "objects", "buckets", "xds", "store");
+            "objects", "buckets", "xds", "store", "mgmt", "fleet");
         Settings settings = Config.settings(Config.object(json, "settings"));
         double stall = Config.number(json, "", "stall_ms", STALL, 1);
         Map<?, ?> objects = Config.object(json, "objects");
@@ -57,7 +58,8 @@
             Config.seed(Config.word(json, "seed", "0")), (int) Config.number(json, "", "sockets", SOCKETS, 16),
             (int) Config.number(json, "", "dial_timeout_ms", DIAL_TIMEOUT, 1),
             Config.number(json, "", "idle_ms", IDLE_TIME, 1), stall, settings, options, xds(json, shards),
-            StoreConfig.read(json));
+            StoreConfig.read(json), json.get("mgmt") == null ? null : Config.address(Config.word(json, "mgmt", null), "mgmt"),
+            FleetConfig.read(json));
     }
 
     private static Map<String, ObjectFront.Bucket> buckets(Map<?, ?> json, Settings settings) throws Config.Bad {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -9,6 +9,8 @@
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.RequestClass;
+import kelphollow.fleet.Events;
+import kelphollow.fleet.Fleet;
 import kelphollow.ledger.Ledger;
 import kelphollow.ledger.NodeRecords;
 import kelphollow.protocol.discovery.DiscoveryWatch;
@@ -56,6 +58,7 @@
     /** The classes and attempts that bind once what was read last has settled. */
     private Retune.Tuning tuning;
     private Ticker.Timeout settling;
+    private Fleet fleet;
 
     private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
         this.loop = loop;
@@ -111,9 +114,15 @@
                 scheduler.wire(config, known, limits);
                 return null;
             }).sync();
+            if (config.fleet() != null) {
+                scheduler.join(config);
+            }
             return scheduler;
         } catch (Exception e) {
             scheduler.close();
+            if (e instanceof Config.Bad bad) {
+                throw bad;
+            }
             if (e instanceof IOException || e instanceof StoreFault) {
                 throw new Config.Bad("store.folders: " + e.getMessage());
             }
@@ -140,6 +149,27 @@
         front = new ObjectFront(core, ticker, config.options(), ledger);
     }
 
+    /** Takes this instance's place in its fleet, under the number of its life in the store. */
+    private void join(ObjectConfig config) throws Config.Bad, InterruptedException {
+        Events events = config.fleet().openEvents();
+        loop.submit(() -> {
+            fleet = new Fleet(config.fleet().options(), ledger.epoch(), loop, ticker, core,
+                new java.util.Random(config.seed() ^ ledger.epoch()), events, ledger::keepAbove);
+        }).sync();
+        try {
+            InetSocketAddress at = fleet.line().listen(config.fleet().options().listen());
+            LOG.info(() -> "in a fleet at " + text(at));
+        } catch (IOException e) {
+            throw new Config.Bad(e.getMessage());
+        }
+        loop.submit(fleet::start).sync();
+    }
+
+    /** What {@code fleet status} shows, or null without a fleet; on the loop. */
+    String fleetStatus() {
+        return fleet == null ? null : fleet.status();
+    }
+
     /** The node list that the life before kept, as far as its age allows. */
     private static List<Member> kept(NodeRecords nodes, ObjectConfig config, double now) throws IOException, StoreFault {
         NodeRecords.Saved saved = nodes.read();
@@ -292,6 +322,9 @@
      */
     void leave(Runnable whenLeft) {
         loop.execute(() -> {
+            if (fleet != null) {
+                fleet.leave();
+            }
             if (answerBy < Double.POSITIVE_INFINITY) {
                 core.leave(ticker.now() + answerBy);
             }
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -40,12 +40,15 @@
         Scheduler scheduler;
         Settings settings;
         InetSocketAddress address;
-        Config.Operations operations = null;
+        Config.Operations operations;
+        String name = null;
         if (file != null) {
             ObjectConfig config = ObjectConfig.read(file);
             settings = config.settings();
             address = config.listen();
+            name = config.name();
             scheduler = Scheduler.of(config, loop, ticker);
+            operations = new Config.Operations(config.mgmt(), false);
         } else {
             Config config = Config.platform(System.getenv());
             settings = config.settings();
@@ -55,9 +58,9 @@
             RespWarmup.run(settings, config.seed());
             scheduler = Scheduler.of(config, loop, ticker, startedAt);
         }
-        Management management = operations == null || operations.mgmt() == null ? null
-            : manage(scheduler, operations.mgmt());
-        boolean inherited = operations != null && operations.inherited();
+        Management management = operations.mgmt() == null ? null
+            : manage(scheduler, operations.mgmt(), file == null ? Management.bansFile() : Management.bansFile(name));
+        boolean inherited = operations.inherited();
         InetSocketAddress at = inherited ? takeOver(scheduler, management) : scheduler.listen(address);
         LOG.info(() -> "serves at " + Scheduler.text(at));
         if (management != null) {
@@ -73,9 +76,9 @@
     }
 
     /** The management address, on an event loop of its own; the bans of an earlier process are taken first. */
-    private static Management manage(Scheduler scheduler, InetSocketAddress at) {
+    private static Management manage(Scheduler scheduler, InetSocketAddress at, java.nio.file.Path bans) {
         EventLoop own = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Management management = new Management(scheduler, own, Management.bansFile());
+        Management management = new Management(scheduler, own, bans);
         management.start();
         InetSocketAddress bound = new MgmtServer(own, management).listen(at);
         LOG.info(() -> "management at " + Scheduler.text(bound));
--- a/src/main/java/kelphollow/protocol/json/Json.java
+++ b/src/main/java/kelphollow/protocol/json/Json.java
@@ -26,7 +26,8 @@
         }
     }
 
-    private static Object read(JsonParser p) throws IOException {
+    /** Reads the value that begins at the parser's token, whatever format it parses; numbers become doubles. */
+    public static Object read(JsonParser p) throws IOException {
         JsonToken token = p.currentToken();
         if (token == null) {
             throw new IOException("the text holds no value");
@@ -51,6 +52,9 @@
             case VALUE_STRING -> {
                 return p.getText();
             }
+            case VALUE_EMBEDDED_OBJECT -> {
+                return p.getBinaryValue();
+            }
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
                 return p.getDoubleValue();
             }
--- a/src/main/java/kelphollow/protocol/mgmt/MgmtLine.java
+++ b/src/main/java/kelphollow/protocol/mgmt/MgmtLine.java
@@ -8,9 +8,9 @@
     /** Longest line, in bytes without its end; a longer one is answered {@code NAK} and the connection closed. */
     int LONGEST = 256;
 
-    enum Verb { STATUS, MAINT_ON, MAINT_OFF }
+    enum Verb { STATUS, MAINT_ON, MAINT_OFF, FLEET_STATUS }
 
-    /** A call that can be carried out. {@code node} is null for {@code status}. */
+    /** A call that can be carried out. {@code node} is null where none is named. */
     record Call(Verb verb, String node) implements MgmtLine { }
 
     /** A line that is no call; {@code reason} goes behind {@code NAK}. */
@@ -30,9 +30,11 @@
         String[] words = text.split(" +");
         return switch (words[0]) {
             case "status" -> words.length == 1 ? new Call(Verb.STATUS, null) : new Bad("status takes no argument");
+            case "fleet" -> words.length == 2 && words[1].equals("status") ? new Call(Verb.FLEET_STATUS, null)
+                : new Bad("fleet takes one word: status");
             case "maint-on" -> node(Verb.MAINT_ON, words);
             case "maint-off" -> node(Verb.MAINT_OFF, words);
-            default -> new Bad("unknown call '" + shortened(words[0]) + "'; known: status, maint-on ID, maint-off ID");
+            default -> new Bad("unknown call '" + shortened(words[0]) + "'; known: status, maint-on ID, maint-off ID, fleet status");
         };
     }
 
--- /dev/null
+++ b/src/main/java/kelphollow/protocol/peer/PeerLine.java
@@ -0,0 +1,307 @@
+package kelphollow.protocol.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.EnumMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.logging.Logger;
+import kelphollow.digest.Part;
+
+/**
+ * The sockets of the line: one port, UDP for {@link Packet.Small} and TCP for {@link Packet.Full}. Lives on the event
+ * loop that it is given. A full exchange begins with a challenge from the side that was called, so that no recorded one
+ * is believed; a datagram proves its place by the life's counter.
+ */
+public final class PeerLine {
+    private static final Logger LOG = Logger.getLogger(PeerLine.class.getName());
+    /** Largest datagram, in bytes; parts that do not fit wait for a full exchange. */
+    public static final int LARGEST_DATAGRAM = 8_192;
+    /** Largest side of a full exchange, in bytes. */
+    public static final int LARGEST_EXCHANGE = 1 << 20;
+    private static final int MOST_CALLERS = 32;
+    private static final int PATIENCE_SECONDS = 2;
+    private static final int CHALLENGE_BYTES = 16;
+    private static final long LOG_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** Why something that came was dropped. */
+    public enum Drop { FORGED, REPLAYED, UNREADABLE, OVERSIZED, CROWDED }
+
+    /** Who hears what comes. Calls come on the line's loop. */
+    public interface Peers {
+        void small(String from, Packet.Small packet);
+
+        /** The other side of an exchange that {@code from} began; returns this side's. */
+        Packet.Full asked(String from, Packet.Full theirs);
+
+        /** The answer to an exchange that was begun here. */
+        void answered(String from, Packet.Full theirs);
+    }
+
+    private final EventLoop loop;
+    private final String name;
+    private final LongSupplier epoch;
+    private final Seal seal;
+    private final ReplayGuard guard;
+    private final Peers peers;
+    private final String life;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<Drop, Long> drops = new EnumMap<>(Drop.class);
+    private final Map<Drop, Long> loggedAt = new EnumMap<>(Drop.class);
+    private Channel datagrams, listener;
+    private long counter, sent, sentBytes;
+    private int callers;
+
+    /**
+     * @param epoch this life's number, asked for with each packet
+     * @param key the fleet's, at least 16 bytes; an {@link IllegalArgumentException} says when it is shorter
+     */
+    public PeerLine(EventLoop loop, String name, LongSupplier epoch, byte[] key, int mostMembers, Peers peers) {
+        this.loop = loop;
+        this.name = name;
+        this.epoch = epoch;
+        this.seal = new Seal(Seal.key(key));
+        this.guard = new ReplayGuard(mostMembers);
+        this.peers = peers;
+        byte[] id = new byte[8];
+        random.nextBytes(id);
+        this.life = HexFormat.of().formatHex(id);
+    }
+
+    /** Opens both sockets on one port and blocks until they are open; not from the loop. */
+    public InetSocketAddress listen(InetSocketAddress at) throws IOException {
+        try {
+            listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childHandler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
+                        called(channel);
+                    }
+                }).bind(at).sync().channel();
+            InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+            datagrams = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LARGEST_DATAGRAM + 1))
+                .handler(new Datagrams()).bind(bound).sync().channel();
+            return bound;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        } catch (Exception e) {                     // sync() throws what it is not declared to
+            close();
+            throw new IOException("fleet.listen: " + e.getMessage(), e);
+        }
+    }
+
+    /** Sends a datagram, less the parts that do not fit; it may be lost. */
+    public void send(InetSocketAddress to, Packet.Small packet) {
+        if (datagrams == null) {
+            return;
+        }
+        List<Part> parts = packet.parts();
+        byte[] bytes;
+        while ((bytes = sealed(new Packet.Small(packet.message(), parts), Seal.NO_CHALLENGE)).length > LARGEST_DATAGRAM
+            && !parts.isEmpty()) {
+            parts = parts.subList(0, parts.size() - 1);
+        }
+        sent++;
+        sentBytes += bytes.length;
+        datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    }
+
+    /** Begins a full exchange. Only its success is told; who cannot be reached is tried again by whoever asks. */
+    public void exchange(String with, InetSocketAddress at, Packet.Full ours) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PATIENCE_SECONDS * 1_000)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    frames(channel);
+                    channel.pipeline().addLast(new Calling(with, ours));
+                }
+            }).connect(at);
+    }
+
+    private byte[] sealed(Packet packet, byte[] challenge) {
+        return seal.seal(new Seal.Sealed(name, epoch.getAsLong(), life, ++counter, PeerCodec.write(packet)), challenge);
+    }
+
+    /** What the answer must cover, so that it is one to this very question: the question's keyed digest. */
+    private static byte[] proof(byte[] sealed) {
+        return java.util.Arrays.copyOfRange(sealed, Math.max(0, sealed.length - Seal.MAC_BYTES), sealed.length);
+    }
+
+    private static void frames(Channel channel) {
+        channel.pipeline().addLast(new ReadTimeoutHandler(PATIENCE_SECONDS, TimeUnit.SECONDS),
+            new LengthFieldBasedFrameDecoder(LARGEST_EXCHANGE, 0, 4, 0, 4), new LengthFieldPrepender(4));
+    }
+
+    /** Opens and reads what came, or drops it and says why. */
+    private Opened open(byte[] bytes, byte[] challenge) {
+        Seal.Sealed sealed = seal.open(bytes, challenge);
+        if (sealed == null || sealed.name().equals(name) && sealed.life().equals(life)) {
+            drop(Drop.FORGED);
+            return null;
+        }
+        if (!guard.accept(sealed, challenge.length > 0)) {
+            drop(Drop.REPLAYED);
+            return null;
+        }
+        try {
+            return new Opened(sealed.name(), PeerCodec.read(sealed.payload()));
+        } catch (IOException | IllegalArgumentException | ClassCastException e) {
+            drop(Drop.UNREADABLE);
+            return null;
+        }
+    }
+
+    private record Opened(String from, Packet packet) { }
+
+    private void drop(Drop why) {
+        long count = drops.merge(why, 1L, Long::sum), now = System.nanoTime();
+        if (loggedAt.get(why) == null || now - loggedAt.get(why) > LOG_NANOS) {
+            loggedAt.put(why, now);
+            LOG.warning(() -> "fleet: dropped what came from a peer: " + why.name().toLowerCase(java.util.Locale.ROOT)
+                + " (" + count + " so far)");
+        }
+    }
+
+    /** How much was dropped so far, by reason. */
+    public Map<Drop, Long> drops() {
+        return Map.copyOf(drops);
+    }
+
+    /** Datagrams sent so far, and their bytes. */
+    public long[] sent() {
+        return new long[] {sent, sentBytes};
+    }
+
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        if (datagrams != null) {
+            datagrams.close();
+        }
+    }
+
+    private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            ByteBuf content = packet.content();
+            if (content.readableBytes() > LARGEST_DATAGRAM) {
+                drop(Drop.OVERSIZED);
+                return;
+            }
+            Opened opened = open(ByteBufUtil.getBytes(content), Seal.NO_CHALLENGE);
+            if (opened != null && opened.packet instanceof Packet.Small small) {
+                peers.small(opened.from, small);
+            } else if (opened != null) {
+                drop(Drop.UNREADABLE);
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.fine(() -> "fleet: " + cause);      // a port that is closed answers a datagram by ICMP: the peer is away
+        }
+    }
+
+    private void called(Channel channel) {
+        if (callers >= MOST_CALLERS) {
+            drop(Drop.CROWDED);
+            channel.close();
+            return;
+        }
+        callers++;
+        channel.closeFuture().addListener(closed -> callers--);
+        frames(channel);
+        byte[] challenge = new byte[CHALLENGE_BYTES];
+        random.nextBytes(challenge);
+        channel.pipeline().addLast(new Called(challenge));
+    }
+
+    /** The side that was called: challenge out, theirs in, ours out, close. */
+    private final class Called extends Exchange {
+        private final byte[] challenge;
+
+        Called(byte[] challenge) {
+            this.challenge = challenge;
+        }
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(Unpooled.wrappedBuffer(challenge));
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            Opened opened = open(ByteBufUtil.getBytes(frame), challenge);
+            if (opened != null && opened.packet instanceof Packet.Full theirs) {
+                byte[] proof = proof(ByteBufUtil.getBytes(frame));
+                Packet.Full ours = peers.asked(opened.from, theirs);
+                ctx.writeAndFlush(Unpooled.wrappedBuffer(sealed(ours, proof))).addListener(ChannelFutureListener.CLOSE);
+            } else {
+                ctx.close();
+            }
+        }
+    }
+
+    /** The side that calls: challenge in, ours out, theirs in, close. */
+    private final class Calling extends Exchange {
+        private final String with;
+        private final Packet.Full ours;
+        private byte[] proof;
+
+        Calling(String with, Packet.Full ours) {
+            this.with = with;
+            this.ours = ours;
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            if (proof == null) {
+                byte[] challenge = ByteBufUtil.getBytes(frame);
+                if (challenge.length != CHALLENGE_BYTES) {
+                    drop(Drop.UNREADABLE);
+                    ctx.close();
+                } else {
+                    byte[] bytes = sealed(ours, challenge);
+                    proof = proof(bytes);
+                    ctx.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+                }
+                return;
+            }
+            Opened opened = open(ByteBufUtil.getBytes(frame), proof);
+            if (opened != null && opened.from.equals(with) && opened.packet instanceof Packet.Full theirs) {
+                peers.answered(with, theirs);
+            }
+            ctx.close();
+        }
+    }
+
+    private abstract class Exchange extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof io.netty.handler.codec.TooLongFrameException) {
+                drop(Drop.OVERSIZED);
+            }
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
@@ -31,6 +33,9 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** Laid over the node list: {@code members} holds what discovery told, the module hears it with the bans. */
     private final Bans bans = new Bans();
+    /** The same by the word of other instances, see {@link #cordon}. */
+    private Set<String> cordoned = Set.of();
+    private Consumer<List<NodeEntry>> listHeard = entries -> { };
     private volatile boolean heard;
     private final ListWatch list;
     private boolean busy;
@@ -163,6 +168,14 @@
         }
         tell(new NodeList(entries, whole, persisted));
         retired.forEach(backend::retire);
+        if (!persisted) {
+            listHeard.accept(news.stream().map(Member::entry).toList());
+        }
+    }
+
+    /** {@code heard} is told what each list from discovery says, as it says it, once it has been followed. */
+    public void onList(Consumer<List<NodeEntry>> heard) {
+        listHeard = heard;
     }
 
     /** Whether a list has come from discovery since the start, not only the one kept from before. */
@@ -170,9 +183,9 @@
         return heard;
     }
 
-    /** A banned node is told to the module as draining, whatever discovery says of it. */
+    /** A node that is banned or cordoned is told to the module as draining, whatever discovery says of it. */
     private NodeEntry banned(NodeEntry e) {
-        if (!bans.holds(e.node()) || e.phase() != Phase.HEALTHY) {
+        if (!bans.holds(e.node()) && !cordoned.contains(e.node()) || e.phase() != Phase.HEALTHY) {
             return e;
         }
         return new NodeEntry(e.node(), e.zone(), e.cell(), Phase.DRAINING, e.born());
@@ -214,6 +227,36 @@
         return true;
     }
 
+    /**
+     * Nodes that other instances were told to drain, all of them each time: nothing new goes there from now on. One
+     * that is no longer named serves again as its list has it: it was never away.
+     */
+    public void cordon(Set<String> nodes) {
+        Set<String> before = cordoned;
+        cordoned = Set.copyOf(nodes);
+        List<NodeEntry> changed = new ArrayList<>();
+        for (Member m : members.values()) {
+            String node = m.entry().node();
+            if (before.contains(node) != cordoned.contains(node)) {
+                changed.add(banned(m.entry()));
+            }
+        }
+        if (!changed.isEmpty()) {
+            tell(new NodeList(changed, false, true));
+            changed.stream().filter(e -> e.phase() != Phase.HEALTHY).forEach(e -> backend.retire(e.node()));
+        }
+    }
+
+    /** Nodes that others found silent, all of them each time. */
+    public void doubt(Set<String> nodes) {
+        tell(new Doubted(nodes));
+    }
+
+    /** Nodes that do not answer this instance. */
+    public Set<String> silentNodes() {
+        return control.silentNodes();
+    }
+
     /** The bans as they stand, for the next process. */
     public java.util.Set<String> bans() {
         return bans.nodes();
@@ -239,7 +282,7 @@
 
     boolean wantsWork(String node) {
         Member m = members.get(node);
-        return m != null && m.entry().phase() == Phase.HEALTHY && !bans.holds(node);
+        return m != null && banned(m.entry()).phase() == Phase.HEALTHY;
     }
 
     // ---------------------------------------------------------------- attempts
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -559,6 +559,24 @@
     }
 
     /** Before a planned end nothing may stay open: what came before and what comes after the news alike. */
+    @Test void aNodeFoundSilentElsewhereIsTriedByATrickleUntilItAnswersHere() {
+        Rig rig = Rig.ready();
+        rig.tell(new Doubted(java.util.Set.of("n0")));
+        assertEquals(java.util.Set.of(), rig.control.silentNodes(), "another's finding is not passed on as our own");
+        rig.pass(rig.now + 1_001);
+        rig.ask("a", "read", "free", "v", 1, 0);
+        rig.ask("b", "read", "free", "w", 1, 0);
+        assertEquals(List.of("a"), rig.sent(), "one at a time");
+        rig.tell(new Doubted(java.util.Set.of("n0")));
+        rig.end("a", Outcome.SERVED, 20);
+        assertEquals(List.of("a", "b"), rig.sent(), "it answered here");
+        rig.tell(new Doubted(java.util.Set.of("n0")));
+        rig.ask("c", "read", "free", "v", 1, 0);
+        assertEquals(List.of("a", "b", "c"), rig.sent(), "the same finding counts once");
+        rig.end("b", Outcome.RESET, 20);
+        assertEquals(java.util.Set.of("n0"), rig.control.silentNodes());
+    }
+
     @Test void allThatIsOpenIsAnsweredBeforeTheInstanceEnds() {
         Rig rig = Rig.ready();
         rig.ask("before", "write", "free", "v", 1, 0);
--- a/src/test/java/kelphollow/routing/MaintenanceTest.java
+++ b/src/test/java/kelphollow/routing/MaintenanceTest.java
@@ -9,6 +9,22 @@
 
 /** Bans laid over the node list: nothing new to a banned node, whatever discovery says, until it is lifted. */
 class MaintenanceTest {
+    @Test void aNodeCordonedByTheWordOfOthersGetsNothingNewAndComesBackAsItWas() {
+        Harness h = new Harness();
+        h.core.start(() -> { }, false);
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
+        h.core.cordon(java.util.Set.of("a", "unknown"));
+        assertEquals(List.of("a"), h.retired);
+        h.ask("read", "free", "k1");
+        assertEquals(List.of(), h.sentTo());
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
+        h.ask("read", "free", "k2");
+        assertEquals(List.of(), h.sentTo(), "its list does not lift it");
+        h.core.cordon(java.util.Set.of());
+        h.ask("read", "free", "k3");
+        assertTrue(h.sentTo().contains("a"));
+    }
+
     private final Harness h = new Harness();
     private final Core core = h.core;
 
