Add the lab: scenarios with real processes, relays, a history and its checker

Sub-command lab: N processes of the program, stand-in object nodes and xDS, relays for datagrams and connections between any two instances, open-loop clients, a timeline of faults placed by what was seen, one history, and a checker that knows the history alone. Plots are still missing.

--- /dev/null
+++ b/src/main/java/kelphollow/lab/History.java
@@ -0,0 +1,106 @@
+package kelphollow.lab;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** What all parties did, one JSON object a line, with one monotonic clock: milliseconds since the run began. */
+final class History implements AutoCloseable {
+    private static final JsonFactory JSON = new JsonFactory();
+    private final long began = System.nanoTime();
+    private final List<Map<String, Object>> lines = new ArrayList<>();
+    private final Writer file;
+
+    /** {@code file} may be null: the history is kept in memory alone. */
+    History(Path file) throws IOException {
+        this.file = file == null ? null : Files.newBufferedWriter(file);
+    }
+
+    double now() {
+        return (System.nanoTime() - began) / 1e6;
+    }
+
+    /** One event of a party; {@code more} holds keys and values in turn. */
+    synchronized void add(String party, String what, Object... more) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("at", now());
+        line.put("party", party);
+        line.put("what", what);
+        for (int i = 0; i < more.length; i += 2) {
+            line.put((String) more[i], more[i + 1]);
+        }
+        lines.add(line);
+        if (file != null) {
+            try {
+                file.write(json(line) + "\n");
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    synchronized List<Map<String, Object>> lines() {
+        return new ArrayList<>(lines);
+    }
+
+    synchronized long count(double from, Predicate<Map<String, Object>> which) {
+        long count = 0;
+        for (int i = lines.size() - 1; i >= 0 && (double) lines.get(i).get("at") >= from; i--) {
+            count += which.test(lines.get(i)) ? 1 : 0;
+        }
+        return count;
+    }
+
+    @Override public synchronized void close() throws IOException {
+        if (file != null) {
+            file.close();
+        }
+    }
+
+    /** Any value of maps, lists, texts, numbers and booleans as JSON. */
+    static String json(Object value) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            write(value, out);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);   // a StringWriter does not fail
+        }
+        return text.toString();
+    }
+
+    private static void write(Object value, JsonGenerator out) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                out.writeFieldName(String.valueOf(e.getKey()));
+                write(e.getValue(), out);
+            }
+            out.writeEndObject();
+        } else if (value instanceof Iterable<?> list) {
+            out.writeStartArray();
+            for (Object item : list) {
+                write(item, out);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Boolean b) {
+            out.writeBoolean(b);
+        } else if (value instanceof Integer || value instanceof Long) {
+            out.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Number n) {
+            out.writeNumber(n.doubleValue());
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(String.valueOf(value));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kelphollow/lab/StandIns.java
@@ -0,0 +1,142 @@
+package kelphollow.lab;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import kelphollow.protocol.json.Json;
+
+/**
+ * Storage nodes that speak the object API, and a control plane that speaks xDS by REST, from their public descriptions.
+ * A node notes each request before it answers. Each instance may be told another list.
+ */
+final class StandIns implements AutoCloseable {
+    private final History history;
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "stand-in");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Set<String> silent = ConcurrentHashMap.newKeySet();
+    /** Nodes that each instance is told to drain, and how often that changed. */
+    private final Map<String, Set<String>> draining = new ConcurrentHashMap<>();
+    private final Map<String, Integer> versions = new ConcurrentHashMap<>();
+    private final CountDownLatch over = new CountDownLatch(1);
+    private volatile boolean down;
+    private final int planePort;
+
+    StandIns(History history, int nodes) throws IOException {
+        this.history = history;
+        for (int i = 0; i < nodes; i++) {
+            String name = "n" + i;
+            ports.put(name, serve("/", exchange -> node(name, exchange)));
+        }
+        planePort = serve("/v3/", this::plane);
+    }
+
+    private interface Handler {
+        void handle(HttpExchange exchange) throws IOException, InterruptedException;
+    }
+
+    private int serve(String path, Handler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
+        server.setExecutor(threads);
+        server.createContext(path, exchange -> {
+            try (exchange) {
+                handler.handle(exchange);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        server.start();
+        servers.add(server);
+        return server.getAddress().getPort();
+    }
+
+    private void node(String name, HttpExchange exchange) throws IOException, InterruptedException {
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        String[] path = exchange.getRequestURI().getPath().split("/");
+        history.add(name, "attempt", "request", path[path.length - 1], "method", exchange.getRequestMethod());
+        if (silent.contains(name)) {
+            over.await();                  // it took the request and says nothing, for good
+            return;
+        }
+        exchange.getResponseHeaders().add("ETag", "\"e\"");
+        byte[] answer = body.length > 0 ? new byte[0] : "value".getBytes(StandardCharsets.US_ASCII);
+        exchange.sendResponseHeaders(200, answer.length == 0 ? -1 : answer.length);
+        exchange.getResponseBody().write(answer);
+    }
+
+    private void plane(HttpExchange exchange) throws IOException {
+        String asked = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        if (down) {
+            return;                        // the connection ends without an answer
+        }
+        Map<?, ?> request = (Map<?, ?>) Json.parse(asked);
+        String instance = (String) ((Map<?, ?>) request.get("node")).get("id");
+        boolean clusters = exchange.getRequestURI().getPath().endsWith(":clusters");
+        Set<String> drained = draining.getOrDefault(instance, Set.of());
+        int number = versions.getOrDefault(instance, 1);
+        String version = clusters ? "c1" : "e" + number;
+        Object resource = clusters ? Map.of("name", "lab", "eds_cluster_config", Map.of("service_name", "lab"))
+            : Map.of("cluster_name", "lab", "endpoints", List.of(Map.of("locality", Map.of("zone", "z0"),
+                "lb_endpoints", endpoints(drained))));
+        byte[] answer = History.json(Map.of("version_info", version, "resources", List.of(resource)))
+            .getBytes(StandardCharsets.UTF_8);
+        boolean news = !clusters && !version.equals(request.get("version_info"));
+        exchange.sendResponseHeaders(200, answer.length);
+        exchange.getResponseBody().write(answer);
+        if (news) {
+            history.add("plane", "told", "instance", instance, "draining", drained);
+        }
+    }
+
+    private List<Object> endpoints(Set<String> drained) {
+        List<Object> endpoints = new ArrayList<>();
+        ports.forEach((node, port) -> endpoints.add(Map.of("endpoint", Map.of("address", Map.of("socket_address",
+            Map.of("address", "127.0.0.1", "port_value", port))), "health_status",
+            drained.contains(node) ? "DRAINING" : "HEALTHY", "metadata", Map.of("filter_metadata", Map.of("kelphollow",
+                Map.of("shard", Integer.parseInt(node.substring(1))))))));
+        return endpoints;
+    }
+
+    int planePort() {
+        return planePort;
+    }
+
+    void silence(String node, boolean now) {
+        if (now) {
+            silent.add(node);
+        } else {
+            silent.remove(node);
+        }
+    }
+
+    /** From its next call on the instance is told that just these nodes drain. */
+    void drain(String instance, Set<String> nodes) {
+        draining.put(instance, Set.copyOf(nodes));
+        versions.merge(instance, 2, (old, first) -> old + 1);
+    }
+
+    void discovery(boolean up) {
+        down = !up;
+    }
+
+    @Override public void close() {
+        over.countDown();
+        servers.forEach(s -> s.stop(0));
+        threads.shutdownNow();
+    }
+}
--- a/src/main/java/kelphollow/program/Main.java
+++ b/src/main/java/kelphollow/program/Main.java
@@ -26,6 +26,7 @@
         @SubCommand(name = "check-config", impl = CheckConfig.class),
         @SubCommand(name = "store", impl = StoreCommand.class),
         @SubCommand(name = "fleet", impl = FleetCommand.class),
+        @SubCommand(name = "lab", impl = LabCommand.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
@@ -49,7 +50,8 @@
             err.println("usage: java -jar kelphollow.jar serve [--config FILE] | adapter"
                 + " | check-config [--config FILE] | train --config FILE | version"
                 + " | store inspect|verify|dump|compact|repair (--config FILE | FOLDER FOLDER)"
-                + " | fleet status --config FILE [--json]");
+                + " | fleet status --config FILE [--json]"
+                + " | lab SCENARIO.json [--seed N] [--report DIR]");
             return USAGE;
         }
         try {
