Suspect, do not bury, whom the other side of an exchange holds for dead

Ruled out: gossip, whose tellings were used up by then. Line at fault: Membership.told took DEAD as it came. Now a full exchange makes suspects of those that are present here; the simulation checks it too.

--- a/src/main/java/kelphollow/membership/Membership.java
+++ b/src/main/java/kelphollow/membership/Membership.java
@@ -284,12 +284,17 @@
         return all;
     }
 
-    /** The other side of a full exchange. */
+    /**
+     * The other side of a full exchange. Whom it holds for dead and this instance for present is suspected, no more, and
+     * may say otherwise. Guards against two halves that find together again and take over each other's dead.
+     */
     public List<Output> told(double at, String from, List<News> all) {
         pass(at);
         if (!left) {
             for (News n : all.subList(0, Math.min(all.size(), settings.mostMembers()))) {
-                hear(n, "told by " + from);
+                Member m = members.get(n.name());
+                boolean doubtful = n.state() == State.DEAD && m != null && present(m);
+                hear(doubtful ? n.as(State.SUSPECT, from) : n, "told by " + from);
             }
         }
         return flush();
--- a/src/test/java/kelphollow/membership/MembershipSimulationTest.java
+++ b/src/test/java/kelphollow/membership/MembershipSimulationTest.java
@@ -192,8 +192,10 @@
         w.run(w.now + 90_000);
         w.lives.forEach((name, life) -> assertEquals(14, life.present().size(), "cut, seen by " + name));
         w.passes = (a, b) -> true;
+        double healed = w.now;
         w.run(w.now + 40_000);
         w.assertViews("healed");
+        assertEquals(List.of(), w.seen(Kind.FAILED, healed), "no half takes over the dead of the other");
     }
 
     @Test void aSleeperAccusesNobodyAndComesBackUnderItsEpoch() {
