--- a/src/main/java/kelphollow/lab/Relay.java
+++ b/src/main/java/kelphollow/lab/Relay.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -17,6 +18,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -27,10 +29,13 @@
  * what was under way stays unanswered. A TCP path needs both directions. Lives on one event loop.
  */
 final class Relay {
+    private static final int RECORDED = 100;
     private final EventLoop loop;
     private final InetSocketAddress to;
     private final Random random;
     private final List<Channel> pipes = new ArrayList<>();
+    /** The last datagrams that came, for a replay. */
+    private final ArrayDeque<byte[]> recorded = new ArrayDeque<>();
     private Channel datagrams, out, listener;
     private Scenario.Net net = Scenario.Net.GOOD;
     private boolean cut, backCut;
@@ -66,6 +71,10 @@
     }
 
     private void pass(ByteBuf bytes) {
+        if (recorded.size() >= RECORDED) {
+            recorded.poll();
+        }
+        recorded.add(ByteBufUtil.getBytes(bytes));
         if (cut || random.nextDouble() < net.loss()) {
             return;
         }
@@ -153,6 +162,11 @@
         }).syncUninterruptibly();
     }
 
+    /** Sends again what was recorded, as it was. */
+    void replay() {
+        loop.submit(() -> List.copyOf(recorded).forEach(this::inject)).syncUninterruptibly();
+    }
+
     /** Sends bytes as if they came over the path. */
     void inject(byte[] bytes) {
         out.writeAndFlush(new DatagramPacket(io.netty.buffer.Unpooled.wrappedBuffer(bytes), to));
--- a/src/main/java/kelphollow/transport/WheelTicker.java
+++ b/src/main/java/kelphollow/transport/WheelTicker.java
@@ -10,7 +10,9 @@
 public final class WheelTicker implements Ticker, AutoCloseable {
     private static final int SLOTS = 512;
     private final HashedWheelTimer wheel;
-    private final double wallAtStart = System.currentTimeMillis();
+    /** A wall clock that is off by so much, for tests: nothing between instances may depend on it. */
+    private static final long OFF = Long.getLong("kelphollow.clock.off.ms", 0);
+    private final double wallAtStart = System.currentTimeMillis() + OFF;
     private final long nanosAtStart = System.nanoTime();
 
     public WheelTicker(EventLoop loop, long tickMillis) {
