--- a/src/main/java/kelphollow/fleet/Fleet.java
+++ b/src/main/java/kelphollow/fleet/Fleet.java
@@ -41,9 +41,10 @@
      * @param peers where others are reached from here, by name; it stands over what they say of themselves
      * @param key the fleet's key, at least 16 bytes
      * @param fades milliseconds after which what an instance said, and did not say again, counts no more
+     * @param findings whether nodes that are found silent are told to the others, and taken from them
      */
     public record Options(String name, InetSocketAddress listen, Map<String, InetSocketAddress> peers, byte[] key,
-                          Settings membership, double fades) { }
+                          Settings membership, double fades, boolean findings) { }
 
     private final Options options;
     private final Ticker ticker;
@@ -217,7 +218,7 @@
         }
         Set<String> silent = new TreeSet<>();
         digest.on(SILENT, now).forEach((teller, nodes) -> {
-            if (!teller.equals(options.name())) silent.addAll(nodes.keySet());
+            if (!teller.equals(options.name()) && options.findings()) silent.addAll(nodes.keySet());
         });
         if (!silent.equals(doubted)) {
             doubted = silent;
@@ -230,7 +231,7 @@
             return;
         }
         double now = ticker.now();
-        Set<String> silent = core.silentNodes();
+        Set<String> silent = options.findings() ? core.silentNodes() : Set.of();
         Set<String> said = new TreeSet<>(digest.on(SILENT, now).getOrDefault(options.name(), Map.of()).keySet());
         silent.forEach(n -> digest.say(SILENT, n, 1));
         said.removeAll(silent);
--- a/src/main/java/kelphollow/lab/Figures.java
+++ b/src/main/java/kelphollow/lab/Figures.java
@@ -18,12 +18,16 @@
     final Histogram drains = new Histogram(120_000, 3);
     final Histogram latency = new Histogram(120_000, 3);
     int asked, served, suspected;
+    /** Attempts at nodes while they said nothing. */
+    int atSilent;
+    private double datagrams, bytes, cpu, up;
 
     Figures(List<Map<String, Object>> lines) {
         this.lines = lines;
         Map<String, Double> awayAt = new HashMap<>();
         Map<String, Set<String>> heldBy = new HashMap<>();
         Set<String> drained = new HashSet<>();
+        Set<String> silent = new HashSet<>();
         double told = Double.NaN;
         for (Map<String, Object> l : lines) {
             double at = ((Number) l.get("at")).doubleValue();
@@ -32,6 +36,15 @@
                 case "kill", "stop" -> awayAt.put(who, at);
                 case "start", "cont" -> awayAt.remove(who);
                 case "ask" -> asked++;
+                case "silent" -> silent.add(String.valueOf(l.get("node")));
+                case "back" -> silent.remove(String.valueOf(l.get("node")));
+                case "attempt" -> atSilent += silent.contains(party) ? 1 : 0;
+                case "view" -> {
+                    datagrams += ((Number) l.get("datagrams")).doubleValue();
+                    bytes += ((Number) l.get("bytes")).doubleValue();
+                    cpu += ((Number) l.get("cpu_ms")).doubleValue();
+                    up += ((Number) l.get("up_ms")).doubleValue();
+                }
                 case "answer" -> {
                     if (((Number) l.get("status")).intValue() == 200) {
                         served++;
@@ -80,6 +93,9 @@
     String summary() {
         return String.format(Locale.ROOT, "%d lines in %.1f s, %d requests, %d served; suspicions %d", lines.size(),
             ((Number) lines.get(lines.size() - 1).get("at")).doubleValue() / 1_000, asked, served, suspected)
+            + (atSilent > 0 ? "; attempts at silent nodes " + atSilent : "")
+            + (up > 0 ? String.format(Locale.ROOT, "; an instance: %.1f datagrams and %.0f bytes a second, %.1f%% of a core",
+                datagrams / up * 1_000, bytes / up * 1_000, cpu / up * 100) : "")
             + spread("latencies", latency) + spread("deaths found", detection) + spread("drains followed", drains);
     }
 
--- a/src/main/java/kelphollow/lab/Lab.java
+++ b/src/main/java/kelphollow/lab/Lab.java
@@ -39,6 +39,14 @@
             err.println("kelphollow: " + file + ": " + e.getMessage());
             return BAD;
         }
+        if (report != null && Files.isDirectory(report)) {
+            try (Stream<Path> files = Files.list(report)) {
+                if (files.findAny().isPresent()) {
+                    err.println("kelphollow: " + report + " is not empty: what an earlier run left would be taken for this one's");
+                    return BAD;
+                }
+            }
+        }
         Path folder = report == null ? Files.createTempDirectory("kelphollow-lab") : Files.createDirectories(report);
         List<Map<String, Object>> lines;
         try (History history = new History(folder.resolve("history.jsonl"))) {
@@ -78,6 +86,8 @@
             Thread end = new Thread(instances::close, "lab-end");
             Runtime.getRuntime().addShutdownHook(end);   // an interrupted run leaves no process either
             try {
+                history.add("lab", "limit", "rate", scenario.limit().rate(), "burst", scenario.limit().burst(),
+                    "slack", scenario.limit().slack());
                 for (String name : instances.names()) {
                     instances.start(name, 0);
                 }
--- a/src/main/java/kelphollow/program/FleetConfig.java
+++ b/src/main/java/kelphollow/program/FleetConfig.java
@@ -28,7 +28,11 @@
             return null;
         }
         Map<?, ?> fleet = Config.object(json, "fleet");
-        Config.known(fleet, "fleet.", "listen", "peers", "key_file", "period_ms", "fades_ms", "members", "events");
+        Config.known(fleet, "fleet.", "listen", "peers", "key_file", "period_ms", "fades_ms", "members", "events",
+            "findings");
+        if (fleet.get("findings") != null && !(fleet.get("findings") instanceof Boolean)) {
+            throw new Config.Bad("fleet.findings must be true or false");
+        }
         if (json.get("store") == null) {
             throw new Config.Bad("fleet needs 'store': the numbers of this instance's lives are kept there");
         }
@@ -51,7 +55,8 @@
             usual.suspicionLeast(), usual.suspicionMost(), usual.confirmations(), usual.healthMost(), usual.rejoin(), members,
             usual.mostNews(), usual.standstill());
         return new FleetConfig(new Fleet.Options(name, Config.address(text(fleet, "listen"), "fleet.listen"), peers,
-            key(text(fleet, "key_file")), settings, Config.number(fleet, "fleet.", "fades_ms", FADES, 4 * period)),
+            key(text(fleet, "key_file")), settings, Config.number(fleet, "fleet.", "fades_ms", FADES, 4 * period),
+            !Boolean.FALSE.equals(fleet.get("findings"))),
             fleet.get("events") == null ? null : path(text(fleet, "events"), "fleet.events"));
     }
 
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -220,8 +220,8 @@
         Member m = members.get(node);
         if (m != null) {
             NodeEntry e = m.entry();
-            tell(new NodeList(List.of(new NodeEntry(e.node(), e.zone(), e.cell(), e.phase(),
-                Math.max(e.born(), now()))), false, true));
+            tell(new NodeList(List.of(banned(new NodeEntry(e.node(), e.zone(), e.cell(), e.phase(),
+                Math.max(e.born(), now())))), false, true));
             backend.retire(node);
         }
         return true;
--- a/src/test/java/kelphollow/lab/CheckerTest.java
+++ b/src/test/java/kelphollow/lab/CheckerTest.java
@@ -102,6 +102,23 @@
         finds("write-twice");
     }
 
+    @Test void aLimitPassedByAllTogetherIsFoundAndRepeatsDrawNothing() {
+        for (int over : new int[] {0, 20}) {
+            lines.clear();
+            add(0, "lab", "limit", "rate", 10.0, "burst", 10.0, "slack", 5.0);
+            good();
+            for (int i = 0; i < 15 + over; i++) {
+                add(4_000 + i, "n0", "attempt", "request", "q" + i + "-i" + i % 3, "method", "GET");
+                add(4_000 + i, "n0", "attempt", "request", "q" + i + "-i" + i % 3, "method", "GET");
+            }
+            if (over > 0) {
+                finds("limit");
+            } else {
+                finds();
+            }
+        }
+    }
+
     @Test void aSendToADrainingNodeIsFoundAfterItsGrace() {
         good();
         add(5_000, "plane", "told", "instance", "i1", "draining", List.of("n0"));
@@ -127,6 +144,18 @@
         finds("false-failure");
     }
 
+    @Test void anInstanceThatSaysItStoodStillWasNotThereButOnlyThen() {
+        good();
+        event(8_800, "i1", "stood_still", "i1", 1);
+        event(9_000, "i0", "failed", "i1", 1);
+        finds();
+        lines.clear();
+        good();
+        event(3_800, "i1", "stood_still", "i1", 1);
+        event(9_000, "i0", "failed", "i1", 1);
+        finds("false-failure");
+    }
+
     @Test void aDeathAcrossACutThatNobodyBridgesIsNone() {
         good();
         add(4_000, "lab", "cut", "who", List.of("i0"), "from", List.of("i1", "i2"), "one_way", false);
--- a/src/test/java/kelphollow/routing/MaintenanceTest.java
+++ b/src/test/java/kelphollow/routing/MaintenanceTest.java
@@ -20,6 +20,10 @@
         h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, false);
         h.ask("read", "free", "k2");
         assertEquals(List.of(), h.sentTo(), "its list does not lift it");
+        h.core.ban("a");
+        h.core.lift("a");
+        h.ask("read", "free", "k4");
+        assertEquals(List.of(), h.sentTo(), "nor does an operator's word about a ban");
         h.core.cordon(java.util.Set.of());
         h.ask("read", "free", "k3");
         assertTrue(h.sentTo().contains("a"));
