--- a/src/test/java/kelphollow/program/HangUpTest.java
+++ b/src/test/java/kelphollow/program/HangUpTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -22,6 +24,8 @@
         Process program = new ProcessBuilder("sh", "-c", before + "exec \"$0\" \"$@\"",
             System.getProperty("java.home") + "/bin/java", "-cp", System.getProperty("java.class.path"),
             Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true).start();
+        // Without the line that is looked for the program would serve on and the reading never end.
+        CompletableFuture.delayedExecutor(20, TimeUnit.SECONDS).execute(program::destroyForcibly);
         StringBuilder log = new StringBuilder();
         try (BufferedReader said = program.inputReader()) {
             for (String line; (line = said.readLine()) != null; ) {
