Hear of a change of the list within 6 s; let each answer belong to its own call

At fault: DiscoveryWatch.WAIT and PATIENCE (21.5 s) and Control's pause after a failure (up to 12 s). Ruled out: sends after a list was heard (the lists came only after that line), connections that were dialled (mayWrite asks the list).

ListBudget adds all times between a change and its hearing: 5.8 s where the list is asked for, 5.4 s where it is pushed, 21.5 s before. HttpCall told calls apart by their Reply, the same for all of a watch: a dial given up that came up later sent its request beside the next one, and a late second answer was taken for the next call's. An answer now belongs to the call whose connection brings it. Both were seen to fail before (HttpCallTest: a dial that comes up late, a second answer that comes late).

Tests changed: the waits and pauses that ListTest, ReloadTest and FleetTest name. FleetTest bounded calls to three a host in 4 s, which the 6 s forbid; it now holds their number to what the pause says, and no more than a quarter of the hosts in 100 ms as before.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -52,9 +52,10 @@
     static final double HOLD_PART = 0.45;
     // News of use is averaged over this time, a few periods of such news.
     static final double NEWS_MEMORY = 5_000;
-    // Pause before the list is asked again after a failure; doubles up to the second figure.
-    static final double LIST_RETRY = 1_000;
-    static final double LIST_RETRY_MAX = 8_000;
+    // The longest pause before the list is asked again, and its least part. Drawn, so that a fleet's calls
+    // part; it does not grow, since news counts as told soon after the service is back.
+    public static final double LIST_PAUSE = 1_400;
+    static final double LEAST_PAUSE = 0.3;
 
     // From so many volumes on, those that have rested for so long are forgotten.
     static final int MANY_VOLUMES = 1_000;
@@ -82,7 +83,7 @@
     private RepeatsBounded repeats = new RepeatsBounded(0, 0);
     private final Tags tags = new Tags();
     private List<Action> out = new ArrayList<>();
-    private double now, wakeAt = Double.POSITIVE_INFINITY, listRetry = LIST_RETRY;
+    private double now, wakeAt = Double.POSITIVE_INFINITY;
     private double askAt = Double.POSITIVE_INFINITY, leaveBy = Double.POSITIVE_INFINITY;
     private double largest, around, aroundAt, mostTries;
     private long orders, planStamp;
@@ -140,8 +141,7 @@
         } else if (event instanceof NodeList l) {
             learnList(l);
         } else if (event instanceof ListFailed) {
-            askAt = this.now + listRetry * (0.5 + random.nextDouble());
-            listRetry = Math.min(LIST_RETRY_MAX, 2 * listRetry);
+            askAt = this.now + LIST_PAUSE * (LEAST_PAUSE + (1 - LEAST_PAUSE) * random.nextDouble());
         } else if (event instanceof Leaving l) {
             leaveBy = l.by();
             for (Request r : open.values()) {
@@ -160,7 +160,6 @@
             for (Node n : nodes.values()) n.repeats = boundedRepeats();
         } else if (event instanceof ListMoved) {
             askAt = this.now;              // its news counts as told soon, whether it was asked for or not
-            listRetry = LIST_RETRY;
         } else if (event instanceof ClientGone g) {
             Request r = open.get(g.id());
             if (r != null) {
@@ -666,10 +665,7 @@
     private double around() { return fade(around, aroundAt, shortestAim / 3); }
 
     private void learnList(NodeList list) {
-        if (!list.persisted()) {
-            listRetry = LIST_RETRY;
-            askAt = Double.POSITIVE_INFINITY;
-        }
+        if (!list.persisted()) askAt = Double.POSITIVE_INFINITY;
         if (list.whole()) {
             for (Node n : nodes.values()) {
                 n.usable = false;
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.RequestClass;
@@ -47,6 +48,7 @@
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
+    private final Random listRandom;
     private Front front;
     private Core core;
     private InetSocketAddress listAt;
@@ -60,10 +62,11 @@
     private Ticker.Timeout settling;
     private Fleet fleet;
 
-    private Scheduler(EventLoop loop, Ticker ticker, int sockets) {
+    private Scheduler(EventLoop loop, Ticker ticker, int sockets, long seed) {
         this.loop = loop;
         this.ticker = ticker;
         this.server = new Server(clients(sockets));
+        this.listRandom = new Random(seed);
     }
 
     /** Half of the descriptors are for clients, a third for nodes, the rest for what the program itself holds open. */
@@ -82,7 +85,7 @@
 
     /** The same in a process that has run since {@code startedAt}; whoever had its name before had ended by then. */
     static Scheduler of(Config config, EventLoop loop, Ticker ticker, double startedAt) {
-        Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
+        Scheduler scheduler = new Scheduler(loop, ticker, config.sockets(), config.seed());
         double killed = KILLED_AFTER + Math.min(LONGEST_COUNTED, config.settings().classes().stream()
             .mapToDouble(RequestClass::deadline).max().orElse(0));
         scheduler.serveOn = Math.max(LISTEN_ON, killed - LAST_REQUESTS);
@@ -104,7 +107,7 @@
 
     /** The gateway of the object API. Its store, if it has one, is opened here and not on the event loop. */
     static Scheduler of(ObjectConfig config, EventLoop loop, Ticker ticker) throws Config.Bad {
-        Scheduler scheduler = new Scheduler(loop, ticker, config.sockets());
+        Scheduler scheduler = new Scheduler(loop, ticker, config.sockets(), config.seed());
         Ledger ledger = scheduler.ledger = config.store() == null ? null : config.store().open(loop, ticker);
         try {
             NodeRecords nodes = scheduler.nodes = ledger == null ? null : ledger.nodes();
@@ -214,7 +217,7 @@
     }
 
     private DiscoveryWatch watch(InetSocketAddress discovery, long version) {
-        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version, pushed);
+        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version, listRandom);
     }
 
     private void keep(List<Member> members) {
--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -7,46 +7,43 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.util.Random;
 import java.util.logging.Logger;
 import kelphollow.protocol.json.Json;
 import kelphollow.routing.Core;
 import kelphollow.routing.Directory;
+import kelphollow.routing.ListBudget;
 import kelphollow.transport.HttpCall;
 
 /**
  * Watches the platform's discovery, or the agent on this machine to which it pushes. The next call follows the last
  * answer at once, since the rule on drains counts a pause as a new watch; after a failure the core says when to ask
  * again. An answer older than the list that is held is no news and asks for the whole list; only when that is older
- * too, twice in a row, does the service count anew, and its list stands.
+ * too, twice in a row, does the service count anew, and its list stands. How long a call is waited for: {@link ListBudget}.
  */
 public final class DiscoveryWatch implements Directory, HttpCall.Reply {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
-    private static final int WAIT = 20_000;
-    // A call to the agent costs nothing, and the agent is silent while discovery is down: a short wait tells silence
-    // from no news, so that the list is asked for again soon after discovery is back.
-    private static final int PUSHED_WAIT = 2_000;
-    // What a call may take beyond its wait; a longer silence counts as told all the same, 2 s after the wait. After a
-    // new configuration its news counts as told after 4 s: a call that is lost must be made again before that.
-    private static final int PATIENCE = 1_500;
+    // How much shorter than the longest wait a call's own may be, by chance.
+    private static final double SPREAD = 0.25;
 
     private final HttpCall calls;
     private final String host;
     private final Core core;
-    private final int wait;
+    private final Random random;
     private long version;
     private boolean watching, stopped, askWhole;
     private int older;
 
     /**
      * {@code version} is that of the list the scheduler was started with, and only changes since then are asked for;
-     * below 0 it asks for the whole list. {@code pushed}: an agent answers, at no cost.
+     * below 0 it asks for the whole list. {@code random} spreads the calls of many schedulers.
      */
-    public DiscoveryWatch(HttpCall calls, String host, Core core, long version, boolean pushed) {
+    public DiscoveryWatch(HttpCall calls, String host, Core core, long version, Random random) {
         this.calls = calls;
         this.host = host;
         this.core = core;
         this.version = version;
-        this.wait = pushed ? PUSHED_WAIT : WAIT;
+        this.random = random;
     }
 
     @Override public void watch() {
@@ -64,11 +61,12 @@
 
     private void call() {
         boolean whole = version < 0 || askWhole;
+        int wait = whole ? 0 : (int) (ListBudget.WAIT * (1 - SPREAD * random.nextDouble()));
         String path = whole ? "/catalog/members" : "/catalog/members?index=" + version + "&wait=" + wait;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
-        calls.send(request, whole ? PATIENCE : wait + PATIENCE, this);   // the whole list comes at once
+        calls.send(request, whole ? ListBudget.WHOLE_PATIENCE : wait + ListBudget.PATIENCE, this);
     }
 
     @Override public void answered(int status, String body) {
--- a/src/main/java/kelphollow/routing/ListWatch.java
+++ b/src/main/java/kelphollow/routing/ListWatch.java
@@ -7,14 +7,10 @@
  * that lives on the list it was started with because no one asked. Lives on the core's event loop.
  */
 final class ListWatch {
-    // The agent serves this scheduler alone, so its pauses need no jitter: they double from the first to the last.
-    private static final double FIRST_PAUSE = 100;
-    private static final double LONGEST_PAUSE = 1_000;
-
     private final Ticker ticker;
     private Directory directory = () -> { };
     private boolean pushed;
-    private double pause = FIRST_PAUSE;
+    private double pause = ListBudget.FIRST_PAUSE;
     private Ticker.Timeout renewal;
 
     ListWatch(Ticker ticker) {
@@ -27,7 +23,7 @@
         directory.stop();
         directory = next;
         pushed = isPushed;
-        pause = FIRST_PAUSE;
+        pause = ListBudget.FIRST_PAUSE;
         directory.watch();
     }
 
@@ -38,7 +34,7 @@
 
     /** A list has come: the next failure is a first one. */
     void heard() {
-        pause = FIRST_PAUSE;
+        pause = ListBudget.FIRST_PAUSE;
     }
 
     /** The watch has ended. Returns whether the module must say when it begins again. */
@@ -46,7 +42,7 @@
         if (pushed) {
             cancel();
             renewal = ticker.after(pause, directory::watch);
-            pause = Math.min(LONGEST_PAUSE, 2 * pause);
+            pause = Math.min(ListBudget.LONGEST_PAUSE, 2 * pause);
         }
         return !pushed;
     }
--- a/src/main/java/kelphollow/transport/HttpCall.java
+++ b/src/main/java/kelphollow/transport/HttpCall.java
@@ -19,9 +19,14 @@
 import java.nio.charset.StandardCharsets;
 import kelphollow.routing.Ticker;
 
-/** Calls to one control-plane service over HTTP, one at a time, on a connection that is kept between them. */
+/**
+ * Calls to one control-plane service over HTTP, one at a time. An answer belongs to the call whose connection brings
+ * it: a connection carries the next call only after it has been quiet for a while, and one whose call was given up is
+ * closed, even while it is dialled. Guards against a second or late answer that is taken for the next call's. For the
+ * event loop alone.
+ */
 public final class HttpCall {
-    /** What came of a call; exactly one of these is called. */
+    /** What came of a call; exactly one of these is called, unless {@link HttpCall#close} comes first. */
     public interface Reply {
         void answered(int status, String body);
 
@@ -30,12 +35,12 @@
 
     private static final int LARGEST_ANSWER = 4 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT = 1_000;
+    // A second answer may come some milliseconds behind the first: until then a connection carries no further call.
+    private static final double QUARANTINE = 20;
     private final EventLoop loop;
     private final Ticker ticker;
     private final InetSocketAddress address;
-    private Channel channel;
-    private Reply pending;
-    private Ticker.Timeout timeout;
+    private Connection last;
 
     public HttpCall(EventLoop loop, Ticker ticker, InetSocketAddress address) {
         this.loop = loop;
@@ -43,70 +48,109 @@
         this.address = address;
     }
 
-    /** Sends a request; gives it up after so many milliseconds. */
+    /** Sends a request, whose ownership it takes; gives it up after so many milliseconds. */
     public void send(FullHttpRequest request, double patience, Reply reply) {
-        pending = reply;
-        timeout = ticker.after(patience, () -> end(null, "no answer in time"));
-        if (channel != null && channel.isActive()) {
-            channel.writeAndFlush(request);
-            return;
+        if (last == null || !last.mayCarryMore()) {
+            close();
+            last = new Connection();
         }
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT)
-            .option(ChannelOption.ALLOCATOR, Server.ALLOCATOR)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER), new Reader());
-                }
-            })
-            .connect(address).addListener((io.netty.channel.ChannelFuture connect) -> {
-                if (!connect.isSuccess()) {
-                    request.release();
-                    end(null, String.valueOf(connect.cause().getMessage()));
-                } else if (pending != reply) {
-                    request.release();
-                    connect.channel().close();
-                } else {
-                    channel = connect.channel();
-                    channel.writeAndFlush(request);
-                }
-            });
+        last.carry(request, patience, reply);
     }
 
     /** Gives up what is under way without a word and closes the connection. */
     public void close() {
-        pending = null;
-        if (timeout != null) {
-            timeout.cancel();
-        }
-        if (channel != null) {
-            channel.close();
+        if (last != null) {
+            last.close();
+            last = null;
         }
     }
 
-    private void end(FullHttpResponse response, String why) {
-        Reply reply = pending;
-        pending = null;
-        if (reply == null) {
-            return;
+    /** One connection, and the call it carries if any. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private Reply awaited;
+        private FullHttpRequest unsent;
+        private Ticker.Timeout timeout;
+        private double answeredAt;
+
+        boolean mayCarryMore() {
+            return awaited == null && channel.isActive() && ticker.now() - answeredAt >= QUARANTINE;
         }
-        timeout.cancel();
-        if (response == null || !HttpUtil.isKeepAlive(response)) {
-            if (channel != null) {
-                channel.close();
+
+        void carry(FullHttpRequest request, double patience, Reply reply) {
+            awaited = reply;
+            unsent = request;
+            timeout = ticker.after(patience, () -> end(null, "no answer in time"));
+            if (channel == null) {
+                dial();
+            } else {
+                write();
             }
-            channel = null;
         }
-        if (response == null) {
-            reply.failed(why);
-        } else {
-            reply.answered(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
+
+        private void dial() {
+            channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, Server.ALLOCATOR)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER), Connection.this);
+                    }
+                })
+                .connect(address).addListener(connect -> {
+                    if (!connect.isSuccess()) {
+                        end(null, String.valueOf(connect.cause().getMessage()));
+                    }
+                }).channel();
+        }
+
+        private void write() {
+            FullHttpRequest request = unsent;
+            unsent = null;
+            channel.writeAndFlush(request);
+        }
+
+        private void end(FullHttpResponse response, String why) {
+            Reply reply = awaited;
+            if (reply == null) {
+                return;
+            }
+            if (response == null || !HttpUtil.isKeepAlive(response)) {
+                close();
+            } else {
+                timeout.cancel();
+                awaited = null;
+                answeredAt = ticker.now();
+            }
+            if (response == null) {
+                reply.failed(why);
+            } else {
+                reply.answered(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
+            }
+        }
+
+        /** Nothing is awaited any more and nothing more is sent, though it may still be dialled. */
+        void close() {
+            awaited = null;
+            timeout.cancel();
+            if (unsent != null) {
+                unsent.release();
+                unsent = null;
+            }
+            channel.close();
+        }
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            if (unsent != null) {
+                write();
+            }
         }
-    }
 
-    private final class Reader extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.decoderResult().isFailure()) {
+            if (awaited == null) {
+                ctx.close();               // nothing was asked
+            } else if (response.decoderResult().isFailure()) {
                 end(null, "not HTTP");
             } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {   // 1xx: the answer follows
                 end(response, null);
@@ -114,17 +158,12 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == channel) {
-                end(null, "connection ended");
-                channel = null;
-            }
+            end(null, "connection ended");
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            end(null, cause instanceof IOException ? "connection reset" : String.valueOf(cause.getMessage()));
             ctx.close();
-            if (ctx.channel() == channel) {
-                end(null, cause instanceof IOException ? "connection reset" : String.valueOf(cause.getMessage()));
-            }
         }
     }
 }
