See clients go in every state; close their connections without a reset; bound late repeats

Closes over unread bytes reset connections (Client.flushAnswers, sweepLater, makeRoom, ObjectClient.done). A repeat of a keyed request could be written after its window when its dial came up late: Attempt.mayWrite knew nothing of it; Control now says until when (Send.writeBy).

Connection states are an enum in place of two flags. Tests changed: LeavingTest and ObjectFrontTest wait for the client's own close or the 250 ms bound before the process has left.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -769,9 +769,15 @@
         return r.maybeRanSince < 0 || r.kind.effect() == Effect.SAFE || inGroup(r, n);
     }
 
+    /** Until when nodes surely remember a keyed request that may have run; 0: it has not. */
+    private double writeBy(Request r) {
+        boolean mayRepeat = r.kind.effect() == Effect.KEYED && r.maybeRanSince >= 0;
+        return mayRepeat ? r.maybeRanSince + r.kind.window() - settings.tick() : 0;
+    }
+
     /** A keyed request that may have run goes only to nodes that drop its repeats, while they remember it. */
     private boolean inGroup(Request r, Node n) {
-        if (now + settings.tick() - r.maybeRanSince >= r.kind.window()) return false;
+        if (now >= writeBy(r)) return false;
         return switch (r.kind.group()) {
             case ALL -> true;
             case ZONE -> n.zone != null && n.zone.equals(r.maybeRanAt.zone);
@@ -828,7 +834,7 @@
         n.sentAt = now;
         if (r.kind.ordered() && r.in.key() != null) keyTurns.get(r.in.key()).flying++;
         r.tries++;
-        out.add(new Send(r.in.id(), n.id, patience));
+        out.add(new Send(r.in.id(), n.id, patience, writeBy(r)));
     }
 
     // ---------------------------------------------------------------- outcomes and answers
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -127,8 +127,11 @@
     /** Something the instance decides. */
     public sealed interface Action { }
 
-    /** Send the next attempt of a request to a node; a {@code timeout} of 0 means until the client gives up. */
-    public record Send(String id, String node, double timeout) implements Action { }
+    /**
+     * Send the next attempt of a request to a node; a {@code timeout} of 0 means until the client gives up. What has not
+     * been begun to be written by the time {@code writeBy} must not be written any more (0: no such bound).
+     */
+    public record Send(String id, String node, double timeout, double writeBy) implements Action { }
 
     /** Final answer: refused, the client may safely try again, best after so many milliseconds (0: no advice). */
     public record Refuse(String id, double after) implements Action { }
--- a/src/main/java/kelphollow/protocol/object/ObjectClient.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectClient.java
@@ -1,8 +1,6 @@
 package kelphollow.protocol.object;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -37,7 +35,7 @@
         long before = messages;
         front.ticker.after(front.options.stall(), () -> {
             if (current == null && messages == before) {
-                channel.close();
+                close();
             } else if (channel.isOpen()) {
                 watchIdle();
             }
@@ -116,19 +114,12 @@
     }
 
     /** The exchange has been answered; what is left of its body is read away, or the connection closes. */
-    void done(ChannelFuture written, boolean keep) {
+    void done(boolean keep) {
         boolean whole = current.isBodyRead();
         current = null;
         idleSince = front.ticker.now();
         if (!keep || !whole || front.leaving != null) {
-            if (whole) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
-                // Closing with input unread resets the connection, and the answer may be lost with it: the
-                // client gets some time to see it and to close by itself.
-                want();
-                front.ticker.after(front.options.stall() / 4, channel::close);
-            }
+            close();
             return;
         }
         HttpRequest following = next;
@@ -150,7 +141,14 @@
 
     void leaveIfIdle() {
         if (current == null) {
-            channel.close();
+            close();
+        }
+    }
+
+    /** Closes it once the last answer has left; what crosses that is not taken. */
+    void close() {
+        if (front.clients.remove(this)) {
+            front.lingering.begin(channel);
         }
     }
 
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -206,7 +206,8 @@
     @Override public void served(Object answer) {
         if (answer == null) {
             over = true;
-            client.done(client.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+            client.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            client.done(keepAlive);
             return;
         }
         Transfer.Answer whole = (Transfer.Answer) answer;
@@ -295,7 +296,8 @@
         }
         boolean keep = keepAlive && bodyRead && front.leaving == null;
         HttpUtil.setKeepAlive(response, keep);
-        client.done(client.channel.writeAndFlush(response), keep);
+        client.channel.writeAndFlush(response);
+        client.done(keep);
     }
 
     private void copy(HttpHeaders from, HttpHeaders to) {
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -15,6 +15,7 @@
 import kelphollow.routing.Ticker;
 import kelphollow.store.StoreFault;
 import kelphollow.transport.Front;
+import kelphollow.transport.LingeringClose;
 
 /** The front for clients of the object API over HTTP. */
 public final class ObjectFront implements Front {
@@ -31,6 +32,8 @@
 
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
     private static final double SPARED = 50;
+    private static final double LINGER = 1_000;
+    private static final int MOST_LINGERING = 64;
     private static final int LARGEST_LINE = 8 * 1024;
     private static final int LARGEST_HEAD = 16 * 1024;
     private static final int LARGEST_PIECE = 16 * 1024;
@@ -42,6 +45,7 @@
     final Completions completions;
     final Set<ObjectClient> clients = new LinkedHashSet<>();
     final double startedAt;
+    final LingeringClose lingering;
     Runnable leaving;
     private long exchanges;
 
@@ -51,6 +55,7 @@
         this.ticker = ticker;
         this.options = options;
         this.startedAt = ticker.now();
+        this.lingering = new LingeringClose(ticker, LINGER, MOST_LINGERING);
         double settle = options.write().deadline();
         this.parts = new Parts(options.parts(), settle, ledger == null ? null : ledger.parts());
         this.completions = new Completions(options.parts(), settle, ledger == null ? null : ledger.completions());
@@ -61,6 +66,10 @@
         }
     }
 
+    @Override public int connections() {
+        return clients.size();
+    }
+
     @Override public void accept(Channel channel) {
         channel.config().setAutoRead(false);
         channel.pipeline().addLast(new HttpServerCodec(LARGEST_LINE, LARGEST_HEAD, LARGEST_PIECE),
@@ -70,7 +79,7 @@
     /** Guards usual clients against others that hold connections and ask for nothing: the longest idle one goes. */
     @Override public void makeRoom() {
         clients.stream().filter(c -> c.isIdle() && ticker.now() - c.idleSince() >= SPARED)
-            .min(Comparator.comparingDouble(ObjectClient::idleSince)).ifPresent(c -> c.channel.close());
+            .min(Comparator.comparingDouble(ObjectClient::idleSince)).ifPresent(ObjectClient::close);
     }
 
     @Override public void leave(Runnable whenLeft) {
@@ -80,7 +89,7 @@
     }
 
     void checkLeft() {
-        if (leaving != null && clients.isEmpty()) {
+        if (leaving != null && clients.isEmpty() && lingering.connections() == 0) {
             leaving.run();
         }
     }
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -29,17 +28,23 @@
 import kelphollow.routing.Request;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.Front;
+import kelphollow.transport.LingeringClose;
 
 /** The front for the platform's clients. */
 public final class RespFront implements Front {
     private static final Logger LOG = Logger.getLogger(RespFront.class.getName());
-    // Requests of one connection that may be open at once; further ones stay in the socket until some are answered.
+    // Requests of one connection that may be open at once; further ones are refused as they come. Their reading never
+    // stops for that: only a connection that is read shows that its client has gone.
     private static final int MOST_OPEN = 256;
+    // Commands of one connection that may wait for their answers' turn; memory: some 100 bytes each. More end it.
+    private static final int MOST_WAITING = 4_096;
     // A connection that was never asked on, or with which a command came only in part, may stand still for so long.
     private static final double SILENT = 2_200;
     // One that has been asked on is kept longer, as long as there is room; no command may take longer to come.
     private static final double IDLE = 10_000;
     private static final double SWEEP = 100;
+    // Between the last answer and the close; at SIGTERM this has to fit between the last answers and the kill.
+    private static final double LINGER = 250;
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
     private static final double SPARED = 50;
     // After so many commands that are none, each further one stops the reading of its connection for a time.
@@ -55,13 +60,15 @@
     private final Set<Client> clients = new LinkedHashSet<>();
     /** Ids of requests that are open: nodes see them, so that no two may be alike. */
     private final Set<String> openIds = new HashSet<>();
+    private final LingeringClose lingering;
     private Runnable leaving;
 
-    /** {@code mostClients} is how many connections there may be in all. */
+    /** {@code mostClients} is how many connections there may be in all, beside some that are being closed. */
     public RespFront(Core core, Ticker ticker, Settings settings, int mostClients) {
         this.core = core;
         this.ticker = ticker;
         this.mostClients = mostClients;
+        this.lingering = new LingeringClose(ticker, LINGER, mostClients / 6);
         know(settings.classes());
         settings.plans().forEach(p -> plans.add(p.name()));
         sweepLater();
@@ -72,6 +79,10 @@
         told.forEach(c -> classes.put(c.name(), c));
     }
 
+    @Override public int connections() {
+        return clients.size();
+    }
+
     @Override public void accept(Channel channel) {
         channel.pipeline().addLast(Resp.clientCodec());
         channel.pipeline().addLast(new Client(channel));
@@ -81,7 +92,7 @@
     private void sweepLater() {
         ticker.after(SWEEP, () -> {
             boolean crowded = clients.stream().filter(c -> c.asked).count() > mostClients / 2;
-            List.copyOf(clients).stream().filter(c -> c.isIdle() && c.hasBeenKeptEnough(crowded)).forEach(c -> c.channel.close());
+            List.copyOf(clients).stream().filter(c -> c.isIdle() && c.hasBeenKeptEnough(crowded)).forEach(Client::close);
             sweepLater();
         });
     }
@@ -99,7 +110,7 @@
             }
         }
         if (oldest != null) {
-            oldest.channel.close();
+            oldest.close();
         }
     }
 
@@ -110,19 +121,32 @@
     }
 
     private void checkLeft() {
-        if (leaving != null && clients.isEmpty()) {
+        if (leaving != null && clients.isEmpty() && lingering.connections() == 0) {
             leaving.run();
         }
     }
 
+    /** What is done with what comes on a client's connection. */
+    private enum State {
+        /** Commands are taken. */
+        SERVING,
+        /** What was taken is still answered; what comes is thrown away. */
+        ENDING,
+        /** All has been answered, or the client has gone. */
+        ENDED
+    }
+
     /** One client's connection: answers leave in the order of its commands. */
     private final class Client extends ChannelInboundHandlerAdapter {
         private final Channel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private boolean closing, asked, partly, reading, unflushed, doingPenance;
+        /** Decoded and not yet looked at. */
+        private final ArrayDeque<RedisMessage> arrived = new ArrayDeque<>();
+        private State state = State.SERVING;
+        private boolean asked, partly, taking, unflushed, doingPenance;
         private double heardAt = ticker.now(), askedAt = heardAt;
         private ChannelFuture lastAnswer;
-        private int refused;
+        private int refused, open;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -131,7 +155,7 @@
 
         /** Nothing is owed on it: no request is open and the last answer has left. */
         boolean isIdle() {
-            return slots.isEmpty() && (lastAnswer == null || lastAnswer.isDone());
+            return slots.isEmpty() && arrived.isEmpty() && (lastAnswer == null || lastAnswer.isDone());
         }
 
         boolean hasBeenKeptEnough(boolean crowded) {
@@ -147,20 +171,46 @@
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
-            reading = true;
-            try {
-                if (!closing) {
-                    askedAt = ticker.now();
-                    command((RedisMessage) message);
+            arrived.add((RedisMessage) message);
+        }
+
+        /**
+         * Commands are taken after the read that brought them: by then it is known whether the client's end came right
+         * behind. Guards against sending on what a client asked that has gone.
+         */
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            partly = arrived.isEmpty();
+            heard();
+            if (partly) {
+                flushAnswers();
+            } else if (!taking) {
+                taking = true;             // answers to what was read at once leave at once
+                channel.eventLoop().execute(this::take);
+            }
+        }
+
+        private void take() {
+            for (RedisMessage message; (message = arrived.poll()) != null; ) {
+                try {
+                    if (state == State.SERVING && channel.isActive()) {
+                        askedAt = ticker.now();
+                        command(message);
+                    }
+                } finally {
+                    ReferenceCountUtil.release(message);
                 }
-            } finally {
-                ReferenceCountUtil.release(message);
             }
+            taking = false;
+            flushAnswers();
         }
 
         private void command(RedisMessage message) {
             Slot slot = new Slot(this);
             slots.add(slot);
+            if (slots.size() > MOST_WAITING) {
+                refuseMore(slot, "ERR too many commands at once");
+                return;
+            }
             if (!(message instanceof ArrayRedisMessage array) || array.isNull() || array.children().isEmpty()
                 || Resp.text(array.children().get(0)) == null) {
                 refuseMore(slot, "ERR Protocol error: expected a command");
@@ -195,6 +245,12 @@
                 throw new RespCommand.Malformed("a request with this id is open");
             }
             slot.id = command.idText();
+            if (open >= MOST_OPEN) {
+                slot.refused(0, false);
+                return;
+            }
+            open++;
+            slot.isOpen = true;
             Request request = core.take(facts, new RespCall(command, slot), slot);
             slot.request = slot.reply == null ? request : null;
         }
@@ -214,10 +270,20 @@
 
         /** An error that leaves the connection unreadable: what came before it is still answered, in order. */
         private void refuseMore(Slot slot, String error) {
-            closing = true;
+            state = State.ENDING;
+            channel.pipeline().addFirst(new LingeringClose.Discard());
             slot.answer(new ErrorRedisMessage(error));
         }
 
+        /** Closes it once all has left that it is owed; what crosses that is never sent on. */
+        void close() {
+            if (state != State.ENDED) {
+                state = State.ENDED;
+                clients.remove(this);
+                lingering.begin(channel);
+            }
+        }
+
         void flushAnswers() {
             for (Slot next; (next = slots.peek()) != null && (next.reply != null || next.value != null); ) {
                 if (next.value != null) {
@@ -232,23 +298,26 @@
                 }
                 slots.poll();
             }
-            if (unflushed && !reading) {   // answers to what was read at once leave at once
+            if (unflushed && !taking) {
                 unflushed = false;
                 channel.flush();
                 askedAt = ticker.now();
                 heard();
             }
-            if (slots.isEmpty() && (closing || leaving != null)) {
-                closing = true;
-                channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+            if (slots.isEmpty() && arrived.isEmpty() && (state == State.ENDING || leaving != null)) {
+                close();
             }
             throttle();
         }
 
-        /** Guards memory against a client that sends faster than it reads. */
+        /**
+         * Guards memory against a client that does not read what it is sent; when it goes, it resets the connection, and
+         * the write that waits for it shows that. While a request is open nothing else stops the reading.
+         */
         private void throttle() {
-            channel.config().setAutoRead(!closing && !doingPenance && slots.size() < MOST_OPEN && channel.isWritable());
+            if (state != State.ENDED) {
+                channel.config().setAutoRead(channel.isWritable() && (!doingPenance || open > 0));
+            }
         }
 
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -258,16 +327,12 @@
             }
         }
 
-        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            partly = !reading;
-            reading = false;
-            heard();
-            flushAnswers();
-        }
-
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            closing = true;
+            state = State.ENDED;
             clients.remove(this);
+            for (RedisMessage message; (message = arrived.poll()) != null; ) {
+                ReferenceCountUtil.release(message);
+            }
             for (Slot slot : slots) {
                 openIds.remove(slot.id);
                 if (slot.request != null) {
@@ -285,8 +350,9 @@
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof java.io.IOException) {
                 ctx.close();
-            } else if (!closing) {
+            } else if (state == State.SERVING) {
                 LOG.log(Level.FINE, "unreadable input", cause);
+                take();                    // what came before it
                 Slot slot = new Slot(this);
                 slots.add(slot);
                 refuseMore(slot, "ERR Protocol error");
@@ -305,6 +371,7 @@
         private RedisMessage reply;
         private LongValue value;
         private String id;
+        private boolean isOpen;
 
         Slot(Client client) {
             this.client = client;
@@ -316,6 +383,8 @@
         }
 
         private void over() {
+            client.open -= isOpen ? 1 : 0;
+            isOpen = false;
             request = null;
             openIds.remove(id);
             client.flushAnswers();
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -12,14 +12,15 @@
     private final Core core;
     private final Request request;
     private final Member member;
-    private final double giveUpAt;
+    private final double giveUpAt, writeBy;
     private boolean out = true;
     private double beganAt = -1;
     private double heardAt;
     private double owedSince;
     private double stoodStill;
 
-    Attempt(Core core, Request request, int number, Member member, double sentAt, double giveUpAt) {
+    Attempt(Core core, Request request, int number, Member member, double sentAt, double giveUpAt,
+            double writeBy) {
         this.core = core;
         this.request = request;
         this.number = number;
@@ -27,6 +28,7 @@
         this.owedSince = sentAt;
         this.stoodStill = core.stoodStill();
         this.giveUpAt = giveUpAt;
+        this.writeBy = writeBy;
     }
 
     public Request request() {
@@ -48,10 +50,12 @@
 
     /**
      * To be asked when a connection is up and before the first byte is written. Guards against a drain, a
-     * cancellation or a deadline that came while the connection was being dialled.
+     * cancellation, a deadline or the end of the time in which repeats are dropped that came while the connection was
+     * being dialled.
      */
     public boolean mayWrite() {
-        return out && !request.over && remaining() > 0 && core.wantsWork(member.entry().node());
+        return out && !request.over && remaining() > 0 && (writeBy <= 0 || core.now() < writeBy)
+            && core.wantsWork(member.entry().node());
     }
 
     /** The answer has begun to be passed on to the client: from here on no deadline runs. */
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -397,7 +397,7 @@
         double now = now();
         double giveUpAt = a.timeout() > 0 ? Math.min(request.facts().deadline(), now + a.timeout())
             : request.facts().deadline();
-        Attempt attempt = new Attempt(this, request, request.attempts.size(), member, now, giveUpAt);
+        Attempt attempt = new Attempt(this, request, request.attempts.size(), member, now, giveUpAt, a.writeBy());
         request.attempts.add(attempt);
         out.put(a.id() + '#' + attempt.number, attempt);
         attempt.timeout = ticker.after(giveUpAt - now, () -> giveUp(attempt, Outcome.TIMED_OUT));
--- a/src/main/java/kelphollow/transport/Front.java
+++ b/src/main/java/kelphollow/transport/Front.java
@@ -7,6 +7,9 @@
     /** Gives a new connection its handlers. */
     void accept(Channel channel);
 
+    /** How many connections it serves; those that are only being closed do not count. */
+    int connections();
+
     /** Closes one connection that is owed nothing, so that a new one can come; does nothing if there is none. */
     void makeRoom();
 
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -3,10 +3,12 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 
@@ -14,10 +16,12 @@
 public final class Server {
     // One arena for the one event loop, in chunks of 256 KiB: Netty's own sizes do not fit a small machine.
     static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, 0, 1, 8192, 5, 0, 0, false);
+    // A read goes on until nothing is left, so that a client's end right behind its request is seen with it.
+    private static final RecvByteBufAllocator UNTIL_NOTHING =
+        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(16);
     private static final int BACKLOG = 512;
     private final int mostConnections;
     private Channel listener;
-    private int connections;
 
     public Server(int mostConnections) {
         this.mostConnections = mostConnections;
@@ -46,17 +50,16 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, UNTIL_NOTHING)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
-                    if (connections >= mostConnections) {
+                    if (front.connections() >= mostConnections) {
                         front.makeRoom();
                     }
-                    if (connections >= mostConnections) {
+                    if (front.connections() >= mostConnections) {
                         channel.close();   // descriptors are few; nothing was taken on it yet
                         return;
                     }
-                    connections++;
-                    channel.closeFuture().addListener(closed -> connections--);
                     front.accept(channel);
                 }
             });
--- /dev/null
+++ b/src/test/java/kelphollow/program/ClientCrossingTest.java
@@ -0,0 +1,143 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a client sends, and its end, at the instants in which they cross what the program does. */
+@Timeout(20)
+class ClientCrossingTest {
+    private static final InetSocketAddress NOBODY = new InetSocketAddress("127.0.0.1", 1);
+    private static final String PING = "*1\r\n$4\r\nPING\r\n";
+
+    static String get(String id) {
+        String values = "c=dump-export,t=padrao,d=5000,volume=v,units=1,shard=0,hosts=1";
+        return "*4\r\n$7\r\nOBJ.GET\r\n$1\r\np\r\n$" + id.length() + "\r\n" + id + "\r\n$" + values.length() + "\r\n" + values + "\r\n";
+    }
+
+    /** While the loop waits, nothing is read; what was done meanwhile then comes in one turn. */
+    private static CountDownLatch hold(Bench bench) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
+        bench.loop.execute(() -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return go;
+    }
+
+    private static ScriptedPeer.Line greeted(ScriptedPeer clients, Bench bench) throws Exception {
+        ScriptedPeer.Line client = clients.connect(bench.address);
+        assertEquals("+PONG\r\n", client.send(PING).receive(7));
+        return client;
+    }
+
+    @Test void aClientThatAsksMoreThanIsHeldOpenAndGoesIsSeenToGo() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             Bench bench = Bench.resp(null, node.address())) {
+            ScriptedPeer.Line client = greeted(clients, bench);
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 400; i++) {
+                all.append(get("q" + i));
+            }
+            client.send(all.toString());
+            ScriptedPeer.Line attempt = node.accept();
+            attempt.until("hosts=1\r\n");
+            client.socket.close();
+            assertTrue(attempt.hasEnded(), "the clock stands: only the client's end can have ended it");
+        }
+    }
+
+    @Test void whatIsAskedBeyondTheOpenOnesIsRefusedInItsTurn() throws Exception {
+        try (ScriptedPeer clients = new ScriptedPeer(); Bench bench = Bench.resp(null, NOBODY)) {
+            ScriptedPeer.Line client = greeted(clients, bench);
+            CountDownLatch go = hold(bench);
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 300; i++) {
+                all.append(get("q" + i));
+            }
+            client.send(all + PING);
+            go.countDown();
+            bench.loop.submit(() -> { }).sync();
+            bench.ticker.advance(6_000);
+            for (int i = 0; i < 300; i++) {
+                String answer = client.until("\r\n");
+                assertTrue(answer.startsWith("-BUSY"), "answer " + i + ": " + answer);
+            }
+            assertEquals("+PONG\r\n", client.receive(7));
+        }
+    }
+
+    @Test void aCommandWithItsClientsEndRightBehindIsNotSentOn() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             Bench bench = Bench.resp(null, node.address())) {
+            ScriptedPeer.Line client = greeted(clients, bench), other = greeted(clients, bench);
+            CountDownLatch go = hold(bench);
+            client.send(get("left")).socket.close();
+            go.countDown();
+            bench.loop.submit(() -> { }).sync();
+            other.send(get("stays"));
+            assertEquals(get("stays").substring(0, 48), node.accept().until("hosts=1\r\n").substring(0, 48));
+        }
+    }
+
+    @Test void aRequestThatCrossesTheCloseOfItsRestingConnectionIsNeitherSentOnNorReset() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             Bench bench = Bench.resp(null, node.address())) {
+            ScriptedPeer.Line client = greeted(clients, bench);
+            CountDownLatch go = hold(bench);
+            bench.loop.execute(() -> bench.ticker.advance(10_200));   // comes before the reading: the connection has rested
+            client.send(get("late"));
+            go.countDown();
+            assertEquals("", client.until("\n"), "a clean end, by which its client knows that it was not taken");
+            ScriptedPeer.Line next = clients.connect(bench.address);
+            next.send(get("again"));
+            assertTrue(node.accept().until("hosts=1\r\n").contains("\r\nagain\r\n"));
+        }
+    }
+
+    @Test void whatComesBehindAnUnreadableCommandNeitherResetsNorDelaysItsError() throws Exception {
+        try (ScriptedPeer clients = new ScriptedPeer(); Bench bench = Bench.resp(null, NOBODY)) {
+            ScriptedPeer.Line client = greeted(clients, bench);
+            client.send(PING + "*1\r\n$99999999\r\n" + "x".repeat(300_000));
+            assertEquals("+PONG\r\n-ERR Protocol error\r\n", client.until("error\r\n"));
+            client.send("y".repeat(100_000));
+            assertEquals("", client.until("\n"));
+        }
+    }
+
+    /** Half of the descriptors are for clients; the rest is never theirs, whatever they hold. */
+    @Test void idleClientsKeepNeitherDiscoveryNorNodesNorTheNextClientOut() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             ScriptedPeer discovery = new ScriptedPeer(); Bench bench = Bench.resp(discovery.address(), node.address())) {
+            ScriptedPeer.Line silent = discovery.accept();
+            for (int i = 0; i < Bench.SOCKETS; i++) {
+                greeted(clients, bench);                      // evicts the one that has been idle longest
+                bench.ticker.advance(60);
+            }
+            ScriptedPeer.Line watch = null;
+            for (int i = 0; watch == null; i++) {
+                assertTrue(i < 60, "discovery is asked again though the house is full");
+                bench.ticker.advance(100);
+                watch = discovery.acceptIfAny();
+            }
+            String list = "{\"seq\":9,\"whole\":true,\"hosts\":[{\"host\":\"n0\",\"dial\":\"127.0.0.1:" + node.address().getPort()
+                + "\",\"site\":\"a\",\"block\":0,\"health\":\"ready\",\"born_ms\":0}]}";
+            watch.until("\r\n\r\n");
+            watch.send("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            assertTrue(discovery.accept().until("\r\n\r\n").contains("index=9"));
+            ScriptedPeer.Line client = greeted(clients, bench);
+            client.send(get("q"));
+            node.accept().until("hosts=1\r\n");
+            silent.until("\r\n\r\n");
+            assertTrue(silent.hasEnded(), "the call that was given up holds no descriptor");
+        }
+    }
+}
--- a/src/test/java/kelphollow/program/LeavingTest.java
+++ b/src/test/java/kelphollow/program/LeavingTest.java
@@ -31,6 +31,7 @@
             assertEquals(1, left.getCount());
             bench.ticker.advance(150);
             assertEquals(-1, client.getInputStream().read());
+            bench.ticker.advance(250);                        // the client does not close; it is not waited for longer
             assertTrue(left.await(10, TimeUnit.SECONDS));
         }
     }
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -329,6 +329,7 @@
         assertEquals(1, left.getCount(), "it waits for what it has taken");
         hold.gate().countDown();
         assertArrayEquals(CONTENT, client.answer().body());
+        client.close();
         assertTrue(left.await(20, TimeUnit.SECONDS));
     }
 }
--- a/src/test/java/kelphollow/routing/Harness.java
+++ b/src/test/java/kelphollow/routing/Harness.java
@@ -10,6 +10,9 @@
 final class Harness {
     static final RequestClass READ = new RequestClass("read", 300, 2000, 2, 0.1, Effect.SAFE, Group.ALL, 0, false,
         false);
+    /** Repeats of it are dropped for less time than a dial may take. */
+    static final RequestClass KEYED = new RequestClass("keyed", 300, 2000, 2, 0.1, Effect.KEYED, Group.CELL, 120, false,
+        false);
     double now = 1_000;
     final List<Attempt> sent = new ArrayList<>();
     final List<String> retired = new ArrayList<>();
@@ -34,7 +37,7 @@
     final Core core;
 
     Harness(Plan plan) {
-        core = new Core(new Control(new Settings(0, 1, "", 1, 3, 100, true, false, 0, 2, 0.4, 0.05, List.of(READ),
+        core = new Core(new Control(new Settings(0, 1, "", 1, 3, 100, true, false, 0, 2, 0.4, 0.05, List.of(READ, KEYED),
             List.of(plan), new Rules(250, 0.25, 10_000, 2, 1000, 6, 0, 0, 0, 0, 0)), 1, now), ticker, new Backend() {
                 @Override public void start(Attempt attempt) {
                     sent.add(attempt);
