Use a kept connection again only once all that came by its quarantine has been read

Cause, by reading Pools.lease: the 20 ms between an answer and the next use were taken from the clock. A loop that stood still for longer finds them over before it has read what the node sent within them, and takes a second answer for the next request's. Now Pools notes up to when all that came has been read (one turn of the loop after each look), and the quarantine ends by that. PoolsTest forces the order in one task of the loop. Recorded exchanges pass time in steps with turns of the loop between, as time passes when nothing holds the loop up; their steps are as they were. SETTLE is now called what it is, a quarantine.

--- a/src/main/java/kelphollow/transport/Pools.java
+++ b/src/main/java/kelphollow/transport/Pools.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -24,7 +25,7 @@
 
     // Guards against what a node sends right behind an answer: it may come a moment later, and by then no other
     // request must wait for an answer on that connection.
-    private static final double SETTLE = 20;
+    private static final double QUARANTINE = 20;
 
     /** The connections to one node that carry nothing, and how many there are in all. */
     static final class Shelf {
@@ -44,6 +45,9 @@
     private final Map<String, Shelf> shelves = new HashMap<>();
     private int connections;
     private long dialled;
+    /** What had come by {@code readUpTo} has been read; a loop that stood still may have more before it. */
+    private double readUpTo, keptAt;
+    private boolean looking;
 
     public Pools(EventLoop loop, Ticker ticker, Limits limits, Supplier<ChannelHandler[]> codec) {
         this.loop = loop;
@@ -59,7 +63,7 @@
         double now = ticker.now();
         for (Iterator<Link> latest = shelf.idle.descendingIterator(); latest.hasNext(); ) {
             Link kept = latest.next();
-            if (now - kept.idleSince < SETTLE) {
+            if (readUpTo - kept.idleSince < QUARANTINE) {
                 continue;
             }
             latest.remove();
@@ -119,6 +123,28 @@
 
     void keep(Link link) {
         link.shelf.idle.addLast(link);
+        keptAt = ticker.now();
+        if (!looking) {
+            looking = true;
+            lookLater();
+        }
+    }
+
+    /**
+     * Notes up to when all that came has been read: the loop's next turn reads first and runs tasks then. Guards against
+     * a loop that was late, which finds a connection's quarantine over before it has read what came within it.
+     */
+    private void lookLater() {
+        ticker.after(QUARANTINE / 2, () -> {
+            double now = ticker.now();
+            ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(() -> {
+                readUpTo = now;
+                looking = readUpTo - keptAt < QUARANTINE;
+                if (looking) {
+                    lookLater();
+                }
+            }));
+        });
     }
 
     void forget(Link link) {
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import kelphollow.decision.ControlApi.NodeEntry;
 import kelphollow.decision.ControlApi.Phase;
 import kelphollow.protocol.discovery.Members;
@@ -121,6 +123,22 @@
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    /** The clock moves on while the loop goes round, reading what comes, as it does when nothing holds it up. */
+    void pass(int millis) throws InterruptedException {
+        for (int passed = 0; passed < millis; passed += 10) {
+            ticker.advance(Math.min(10, millis - passed));
+            turn(loop);
+        }
+    }
+
+    /** The loop goes round once: it reads what has come, then runs what waits. */
+    static void turn(EventLoop loop) throws InterruptedException {
+        CountDownLatch round = new CountDownLatch(1);
+        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(round::countDown));
+        loop.submit(() -> { }).sync();     // wakes it if it rests
+        round.await();
+    }
+
     /** As at SIGTERM; the clock stands. */
     void term(Runnable whenLeft) throws InterruptedException {
         scheduler.leave(whenLeft);
--- a/src/test/java/kelphollow/program/ExchangeTest.java
+++ b/src/test/java/kelphollow/program/ExchangeTest.java
@@ -63,7 +63,7 @@
                     String where = file.getFileName() + " step " + number + ": " + step;
                     String[] words = step.split(" ", 2);
                     if (words[0].equals("T")) {
-                        bench.ticker.advance(Integer.parseInt(words[1].strip()));
+                        bench.pass(Integer.parseInt(words[1].strip()));
                         continue;
                     }
                     if (words[0].equals("W")) {
--- /dev/null
+++ b/src/test/java/kelphollow/program/PoolsTest.java
@@ -0,0 +1,76 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import kelphollow.transport.Link;
+import kelphollow.transport.Pools;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** When a kept connection may carry the next exchange. */
+@Timeout(20)
+class PoolsTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ManualTicker ticker = new ManualTicker(loop);
+    private final Pools pools = new Pools(loop, ticker, new Pools.Limits(250, 12_000, 10), () -> new ChannelHandler[0]);
+    private final BlockingQueue<Link> up = new LinkedBlockingQueue<>();
+    private final Link.User user = new Link.User() {
+        @Override public void up(Link link) {
+            up.add(link);
+        }
+
+        @Override public void received(Link link, Object message) {
+            fail("nothing is to be taken for an answer");
+        }
+
+        @Override public void broken(Link link, Throwable cause) { }
+    };
+
+    @AfterEach void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Link lease(ScriptedPeer node) throws Exception {
+        loop.submit(() -> pools.lease("n", node.address(), user)).sync();
+        return up.poll(10, TimeUnit.SECONDS);
+    }
+
+    @Test void aConnectionThatStayedQuietCarriesTheNextExchange() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer()) {
+            Link first = lease(node);
+            loop.submit(first::release).sync();
+            for (int i = 0; i < 5; i++) {
+                ticker.advance(10);
+                Bench.turn(loop);
+            }
+            assertSame(first, lease(node));
+            assertEquals(1, pools.dialled());
+        }
+    }
+
+    @Test void whatCameWhileTheLoopStoodStillIsReadBeforeItsConnectionIsUsedAgain() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer()) {
+            Link first = lease(node);
+            ScriptedPeer.Line line = node.accept();
+            loop.submit(first::release).sync();
+            loop.submit(() -> {
+                line.send("noise");            // is there, and is not read while this task runs
+                ticker.advance(100);
+                return pools.lease("n", node.address(), user);
+            }).sync();
+            assertNotSame(first, up.poll(10, TimeUnit.SECONDS));
+            assertEquals(2, pools.dialled());
+            assertTrue(line.hasEnded(), "a node speaks only when asked");
+        }
+    }
+}
