--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -36,7 +36,7 @@
     static final double BEST_MEMORY = 30_000;
     // An answer counts as lost after so many times what it should take; it may still come.
     static final double CALM = 5;
-    // Part of what a cold node bears that is given out by lot; the rest is for surges, since little is left to chance.
+    // Part of what a cold node bears that is given out by lot; the rest is for surges and for chance.
     static final double LOT = 0.6;
     // Below so many mean requests sent to a cold node in a span, one more may go when none is out there.
     static final double SECOND = 1.5;
