--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -573,7 +573,7 @@
             double sent = sentWithin(), part = youngPart();
             if (sent + r.in.units() <= part) return true;
             boolean free = sent == 0 || flying.isEmpty() && sent < SECOND * settings.unitMean();
-            // What was held while the node was away leaves over as long as it may have been held, not at once.
+            // What was held while the node was away leaves over as long as it may be held, not at once.
             double eased = r.arrived < toldAt ? Math.min(1, (now - toldAt) / (r.holdUntil - r.arrived)) : 1;
             return part < settings.unitMean() && free && !r.late
                 && r.luck < eased * LOT * ramp() * rules.fallMultiple();
