Ask discovery before the warm-up; end a start by SIGTERM in order; name malformed figures

By reading Serve.run: the watch began after the warm-up and clients were taken before its first answer, on a list that may be old, while what discovery's agent has counts as told from the first moment. The leaving was set up after the listening, so that SIGTERM during a start gave 143; StartTest forces it by the first call to discovery. Control's constructor with a start of its own falls away: the module now starts with the process.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -88,15 +88,12 @@
     private double largest, around, aroundAt, mostTries;
     private long orders, planStamp;
 
-    /** Starts an instance that knows nothing but its settings; call {@link #start} next. */
-    public Control(Settings settings, long seed, double now) { this(settings, seed, now, now); }
-
-    /** The same; a life before, if any, had ended by {@code startedAt}: limits fill since then. */
-    public Control(Settings settings, long seed, double now, double startedAt) {
+    /** An instance that knows nothing but its settings; limits fill from now on. Call {@link #start} next. */
+    public Control(Settings settings, long seed, double now) {
         this.settings = settings;
         this.rules = settings.rules();
         this.random = new Random(seed * 0x9E3779B97F4A7C15L);   // hosts with near seeds must not draw alike
-        this.startedAt = startedAt;
+        this.startedAt = now;
         this.budget = new RepeatBudget(rules.budgetWindow(), rules.budgetFree(), rules.budgetShare(),
             settings.tick());
         this.now = now;
--- a/src/main/java/kelphollow/program/Config.java
+++ b/src/main/java/kelphollow/program/Config.java
@@ -106,6 +106,28 @@
                 }
             }
         }
+        for (Object item : classes) {
+            Map<?, ?> c = (Map<?, ?>) item;
+            String at = "settings.request_classes[" + classes.indexOf(item) + "].";
+            optional(c, at, "worth", "late_share", "window");
+            texts(c, at, "effect", "dedup_scope");
+            if ("token".equals(c.get("effect"))) {
+                number(c, at, "window", Double.NaN, 0);
+                word(c, "dedup_scope", null);
+            }
+        }
+        for (Object item : (java.util.List<?>) map.get("grades")) {
+            if (!(item instanceof Map<?, ?> plan)) {
+                throw new Bad("settings.grades holds what is not an object");
+            }
+            optional(plan, "settings.grades.", "reserve", "proportion", "value_factor", "ceiling_rate", "limit_burst",
+                "tolerance");
+        }
+        optional(object(map, "settings.", "ceilings"), "settings.ceilings.", "open_cap", "max_retry_after");
+        optional(object(map, "settings.", "contract"), "settings.contract.", "cold_share", "cold", "tip_multiple", "fall",
+            "key_rest", "extra_floor", "extra_ratio", "counted_over", "ask_every");
+        optional(object(map, "settings.", "extra"), "settings.extra.", "young_limit", "unit_mean", "share_worth", "beyond_share");
+        optional(map, "settings.", "me", "tick");
         number(map, "settings.", "fleet_size", Double.NaN, 1);
         number(object(map, "settings.", "ceilings"), "settings.ceilings.", "most_tries", Double.NaN, 1);
         number(object(map, "settings.", "contract"), "settings.contract.", "drain_grace", Double.NaN, 0);
@@ -173,6 +195,21 @@
         throw new Bad(key + (value == null ? " is missing" : " is not a text"));
     }
 
+    /** Keys that may be missing, since not every site has them, but are numbers of at least 0 where they are there. */
+    private static void optional(Map<?, ?> map, String path, String... keys) throws Bad {
+        for (String key : keys) {
+            number(map, path, key, 0, 0);
+        }
+    }
+
+    private static void texts(Map<?, ?> map, String path, String... keys) throws Bad {
+        for (String key : keys) {
+            if (map.get(key) != null && !(map.get(key) instanceof String)) {
+                throw new Bad(path + key + " is not a text");
+            }
+        }
+    }
+
     static double number(Map<?, ?> map, String path, String key, double absent, double least) throws Bad {
         Object value = map.get(key) == null ? (Double) absent : map.get(key);
         if (value instanceof Double d && d >= least) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.RequestClass;
@@ -49,6 +51,8 @@
     private final Ticker ticker;
     private final Server server;
     private final Random listRandom;
+    /** Discovery has told its list, or a call to it has failed. */
+    private final CountDownLatch firstWord = new CountDownLatch(1);
     private Front front;
     private Core core;
     private InetSocketAddress listAt;
@@ -78,13 +82,8 @@
         return sockets / 3;
     }
 
-    /** The scheduler of the platform. */
+    /** The scheduler of the platform; whoever had its name before has ended by now. */
     static Scheduler of(Config config, EventLoop loop, Ticker ticker) {
-        return of(config, loop, ticker, ticker.now());
-    }
-
-    /** The same in a process that has run since {@code startedAt}; whoever had its name before had ended by then. */
-    static Scheduler of(Config config, EventLoop loop, Ticker ticker, double startedAt) {
         Scheduler scheduler = new Scheduler(loop, ticker, config.sockets(), config.seed());
         double killed = KILLED_AFTER + Math.min(LONGEST_COUNTED, config.settings().classes().stream()
             .mapToDouble(RequestClass::deadline).max().orElse(0));
@@ -94,8 +93,9 @@
             Pools pools = new Pools(loop, ticker,
                 new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), RespBackend::codec);
             Core core = scheduler.core = new Core(
-                new Control(config.settings(), config.seed(), ticker.now(), startedAt), ticker, new RespBackend(pools, ticker));
+                new Control(config.settings(), config.seed(), ticker.now()), ticker, new RespBackend(pools, ticker));
             core.learn(config.known().members(), true, true);
+            core.onFirstWord(scheduler.firstWord::countDown);
             scheduler.listAt = config.discovery();
             scheduler.pushed = !config.settings().listMustBeAsked();
             core.start(scheduler.watch(config.discovery(), config.known().version()), scheduler.pushed);
@@ -306,6 +306,11 @@
         return core != null && core.heardList();
     }
 
+    /** Waits, on the caller's thread, for discovery's first word, so many milliseconds at most; false if none came. */
+    boolean awaitList(long most) throws InterruptedException {
+        return firstWord.await(most, TimeUnit.MILLISECONDS);
+    }
+
     /** Takes clients from the socket that the platform handed down; nothing new is taken at once on leaving. */
     InetSocketAddress listen(java.nio.channels.ServerSocketChannel inherited) {
         serveOn = 0;
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -30,10 +30,15 @@
     // The process before is killed at the latest 6 s after the start and 3.7 s after that.
     private static final double HANDOVER_MOST = 12_000;
 
+    // A start goes on without discovery that says nothing for so long, from the list it was given.
+    private static final long LIST_MOST = 300;
+
     @Option(name = "--config", metaVar = "FILE", usage = "serve the object API as this file says")
     private String file;
 
     @Override public int run(PrintStream out, PrintStream err) throws Config.Bad, InterruptedException {
+        // Until the clients' socket is open nothing has been taken, so an end by SIGTERM is in order at once.
+        SignalHandler usual = Signal.handle(new Signal("TERM"), signal -> Runtime.getRuntime().halt(0));
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         WheelTicker ticker = new WheelTicker(loop, TICK);
@@ -54,12 +59,15 @@
             settings = config.settings();
             address = config.listen();
             operations = config.operations();
-            double startedAt = ticker.now();
+            // Discovery is asked first: what it has told since the list in the file binds from the first request on.
+            scheduler = Scheduler.of(config, loop, ticker);
             RespWarmup.run(settings, config.seed());
-            scheduler = Scheduler.of(config, loop, ticker, startedAt);
+            scheduler.awaitList(LIST_MOST);
         }
         Management management = operations.mgmt() == null ? null
             : manage(scheduler, operations.mgmt(), file == null ? Management.bansFile() : Management.bansFile(name));
+        leaveOnTerm(scheduler, settings, management);
+        Signal.handle(new Signal("TERM"), usual);
         boolean inherited = operations.inherited();
         InetSocketAddress at = inherited ? takeOver(scheduler, management) : scheduler.listen(address);
         LOG.info(() -> "serves at " + Scheduler.text(at));
@@ -70,7 +78,6 @@
             LOG.warning("SIGHUP is ignored, as whoever started this program left it (nohup does): new configurations"
                 + " will not be read");
         }
-        leaveOnTerm(scheduler, settings, management);
         group.terminationFuture().sync();
         return 1;
     }
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -37,6 +37,7 @@
     private Set<String> cordoned = Set.of();
     private Admission admission = Admission.ALL;
     private Consumer<List<NodeEntry>> listHeard = entries -> { };
+    private Runnable firstWord = () -> { };
     private volatile boolean heard;
     private final ListWatch list;
     private boolean busy;
@@ -181,10 +182,22 @@
         tell(new NodeList(entries, whole, persisted));
         retired.forEach(backend::retire);
         if (!persisted) {
+            firstWord();
             listHeard.accept(news.stream().map(Member::entry).toList());
         }
     }
 
+    /** The task runs once the directory has told its first list, or has failed to for the first time. */
+    public void onFirstWord(Runnable task) {
+        firstWord = task;
+    }
+
+    private void firstWord() {
+        Runnable task = firstWord;
+        firstWord = () -> { };
+        task.run();
+    }
+
     /** {@code heard} is told what each list from discovery says, as it says it, once it has been followed. */
     public void onList(Consumer<List<NodeEntry>> heard) {
         listHeard = heard;
@@ -293,6 +306,7 @@
 
     /** The watch of the list has ended; what was told before stands. */
     public void listFailed() {
+        firstWord();
         if (list.failed()) {
             tell(new ListFailed());
         }
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -328,7 +328,7 @@
     }
 
     @Test void aLimitFillsFromTheStartOfTheProcess() {
-        Control c = new Control(Rig.settings(false, Rig.RULES), 1, 50_000, 49_600);   // 8 units at 20 a second
+        Control c = new Control(Rig.settings(false, Rig.RULES), 1, 49_600);   // 8 units at 20 a second
         c.on(50_000, new Arrival("a", "read", "limited", null, 52_000, "v", 1, 0, 1));
         assertEquals(8.0, c.limitLevels().get("v"), 1e-9, "with the loan, less what is owed of it");
     }
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -123,6 +123,10 @@
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    boolean awaitList(long most) throws InterruptedException {
+        return scheduler.awaitList(most);
+    }
+
     /** The clock moves on while the loop goes round, reading what comes, as it does when nothing holds it up. */
     void pass(int millis) throws InterruptedException {
         for (int passed = 0; passed < millis; passed += 10) {
--- a/src/test/java/kelphollow/program/ClientCrossingTest.java
+++ b/src/test/java/kelphollow/program/ClientCrossingTest.java
@@ -65,9 +65,11 @@
             }
             client.send(all + PING);
             go.countDown();
-            bench.loop.submit(() -> { }).sync();
-            bench.ticker.advance(6_000);
             for (int i = 0; i < 300; i++) {
+                for (int passed = 0; client.socket.getInputStream().available() == 0; passed += 100) {
+                    assertTrue(passed < 20_000, "answer " + i);
+                    bench.pass(100);
+                }
                 String answer = client.until("\r\n");
                 assertTrue(answer.startsWith("-BUSY"), "answer " + i + ": " + answer);
             }
@@ -82,7 +84,7 @@
             CountDownLatch go = hold(bench);
             client.send(get("left")).socket.close();
             go.countDown();
-            bench.loop.submit(() -> { }).sync();
+            Bench.turn(bench.loop);
             other.send(get("stays"));
             assertEquals(get("stays").substring(0, 48), node.accept().until("hosts=1\r\n").substring(0, 48));
         }
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -100,7 +100,7 @@
         new java.util.Random(1).nextBytes(large);
         assertEquals(200, client.call("PUT /symbols/large", "Expect: 100-continue\r\n", large).status());
         client.send("GET /symbols/large", "", null);
-        bench.loop.submit(() -> { }).sync();
+        Bench.turn(bench.loop);
         assertArrayEquals(large, client.answer().body());
         long held = io.netty.buffer.PooledByteBufAllocator.class.cast(allocator()).metric().usedDirectMemory();
         assertTrue(held < 4 << 20, held + " bytes of buffers for a body of " + large.length);
@@ -116,7 +116,7 @@
     @Test void aHeadInPiecesIsPutTogetherAndOneWithoutEndIsRefused() throws Exception {
         for (String piece : new String[] {"GET /symb", "ols/a HTTP/1.1\r\nHo", "st: h\r\n\r\n"}) {
             client.socket.getOutputStream().write(piece.getBytes());
-            bench.loop.submit(() -> { }).sync();
+            Bench.turn(bench.loop);
         }
         assertArrayEquals(CONTENT, client.answer().body());
         try (StandInClient other = new StandInClient(bench.address)) {
--- /dev/null
+++ b/src/test/java/kelphollow/program/StartTest.java
@@ -0,0 +1,94 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import kelphollow.protocol.json.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a start waits for, and what crosses it. */
+@Timeout(60)
+class StartTest {
+    @TempDir Path folder;
+
+    @Test void aStartWaitsForTheFirstWordOfDiscoveryBeItAListOrARefusal() throws Exception {
+        try (ScriptedPeer discovery = new ScriptedPeer(); Bench bench = Bench.respWith("automatic", discovery.address())) {
+            ScriptedPeer.Line call = discovery.accept();
+            call.until("\r\n\r\n");
+            assertFalse(bench.awaitList(0));
+            String list = StandInDiscovery.list(4, false);
+            call.send("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            assertTrue(bench.awaitList(10_000));
+        }
+        try (Bench bench = Bench.respWith("subscribe", new InetSocketAddress("127.0.0.1", 1))) {
+            assertTrue(bench.awaitList(10_000));
+        }
+    }
+
+    @Test void sigtermDuringAStartEndsItInOrder() throws Exception {
+        try (ScriptedPeer discovery = new ScriptedPeer()) {
+            String address = "127.0.0.1:" + discovery.address().getPort();
+            Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + address
+                + "\",\"settings\":" + settings() + "}");
+            ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve").redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile());
+            builder.environment().put("GW_CONFIG", file.toString());
+            Process program = builder.start();
+            try {
+                discovery.accept();            // asked before the warm-up, long before the clients' socket is open
+                program.destroy();
+                assertTrue(program.waitFor(20, TimeUnit.SECONDS));
+                assertFalse(Files.readString(folder.resolve("log")).contains("serves at"));
+                assertEquals(0, program.exitValue());
+            } finally {
+                program.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    private static String settings() throws Exception {
+        String text = Files.readString(Path.of("deploy/objects.json"));
+        int at = text.indexOf("\"settings\"");
+        return text.substring(text.indexOf('{', at), text.lastIndexOf('}'));
+    }
+
+    @Test void aMalformedFigureOfTheSettingsIsNamed() throws Exception {
+        for (List<String> fault : List.of(List.of("request_classes", "window"), List.of("request_classes", "worth"),
+            List.of("grades", "ceiling_rate"), List.of("contract", "fall"), List.of("extra", "young_limit"),
+            List.of("ceilings", "open_cap"))) {
+            Map<String, Object> settings = Bench.part(Bench.example(), "settings");
+            if (settings.get(fault.get(0)) instanceof List<?> rows) {
+                Map<Object, Object> row = new HashMap<>((Map<?, ?>) rows.get(0));
+                row.put(fault.get(1), "soon");
+                settings.put(fault.get(0), List.of(row));
+            } else {
+                Bench.part(settings, fault.get(0)).put(fault.get(1), -1.0);
+            }
+            Config.Bad bad = assertThrows(Config.Bad.class, () -> Config.settings(settings), fault.toString());
+            assertTrue(bad.getMessage().contains(fault.get(1)), bad.getMessage());
+        }
+    }
+
+    @Test void aTokenClassNeedsItsWindow() throws Exception {
+        Map<String, Object> settings = Bench.part(Bench.example(), "settings");
+        settings.put("request_classes", List.of(Map.of("name", "k", "aim", 100.0, "deadline", 100.0, "effect", "token",
+            "dedup_scope", "all")));
+        assertTrue(assertThrows(Config.Bad.class, () -> Config.settings(settings)).getMessage().contains("window"));
+    }
+
+    @Test void oneClassWithoutLimitsOrZonesIsEnough() throws Exception {
+        Object settings = Json.parse("{\"discovery\":\"subscribe\",\"fleet_size\":1,\"tick\":2,\"ceilings\":{\"most_tries\":1},"
+            + "\"contract\":{\"drain_grace\":0},\"extra\":{},\"grades\":[{\"name\":\"g\",\"rate\":1}],"
+            + "\"request_classes\":[{\"name\":\"c\",\"aim\":100,\"deadline\":100}]}");
+        assertEquals(1, Config.settings((Map<?, ?>) settings).classes().size());
+    }
+}
--- a/src/test/java/kelphollow/program/XdsTest.java
+++ b/src/test/java/kelphollow/program/XdsTest.java
@@ -102,7 +102,7 @@
                 rounds(bench, asked, 2);
                 int before = server.seen.size();
                 client.send("GET /symbols/a", "", null);
-                bench.loop.submit(() -> { }).sync();
+                Bench.turn(bench.loop);        // the request has been read
                 bench.ticker.advance(300);
                 assertEquals(503, client.answer().status());
                 assertEquals(before, server.seen.size(), "nothing new went to the draining server");
