--- a/src/main/java/kelphollow/protocol/mgmt/MgmtServer.java
+++ b/src/main/java/kelphollow/protocol/mgmt/MgmtServer.java
@@ -5,12 +5,12 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import kelphollow.transport.LingeringClose;
 
 /**
  * The management address: each connection carries one line and gets one line back, {@code ACK ...} or
@@ -82,7 +83,6 @@
                 return;   // one line a connection; what follows is not read
             }
             called = true;
-            context.channel().config().setAutoRead(false);
             MgmtLine line = MgmtLine.parse(ByteBufUtil.getBytes(frame));
             if (line instanceof MgmtLine.Bad bad) {
                 answer(context, "NAK " + bad.reason());
@@ -93,6 +93,9 @@
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (called && cause instanceof TooLongFrameException) {
+                return;   // behind the line that is answered
+            }
             if (called) {
                 context.close();
             } else if (cause instanceof TooLongFrameException) {
@@ -108,8 +111,11 @@
 
         private void answer(ChannelHandlerContext context, String text) {
             if (context.channel().isActive()) {
+                // What comes behind the line is read away: a close over it would reset the connection, and the answer with
+                // it. The caller closes, or the read times out.
+                context.pipeline().addFirst(new LingeringClose.Discard());
                 context.writeAndFlush(Unpooled.copiedBuffer(text + "\n", StandardCharsets.US_ASCII))
-                    .addListener(ChannelFutureListener.CLOSE);
+                    .addListener(sent -> ((SocketChannel) context.channel()).shutdownOutput());
             }
         }
     }
--- a/src/test/java/kelphollow/program/Bench.java
+++ b/src/test/java/kelphollow/program/Bench.java
@@ -123,6 +123,10 @@
         ticker.advance((int) scheduler.serveOn() + 1);
     }
 
+    int openRequests() throws Exception {
+        return scheduler.onLoop(core -> core.openRequests()).get();
+    }
+
     boolean awaitList(long most) throws InterruptedException {
         return scheduler.awaitList(most);
     }
--- a/src/test/java/kelphollow/program/LeavingTest.java
+++ b/src/test/java/kelphollow/program/LeavingTest.java
@@ -35,4 +35,29 @@
             assertTrue(left.await(10, TimeUnit.SECONDS));
         }
     }
+
+    /** Held for its turn, out at a node that hangs, or come after SIGTERM: each has its answer 350 ms before the kill. */
+    @Test void whatWaitsWhenNodesHangIsAnsweredInTime() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             Bench bench = Bench.resp(null, node.address())) {
+            ScriptedPeer.Line client = clients.connect(bench.address), late = clients.connect(bench.address);
+            for (int i = 0; i < 12; i++) {
+                client.send(ClientCrossingTest.get("q" + i));
+            }
+            node.accept().until("hosts=1\r\n");              // it never answers; the others wait behind it
+            CountDownLatch left = new CountDownLatch(1);
+            bench.term(left::countDown);
+            bench.pass(1_000);
+            late.send(ClientCrossingTest.get("late"));
+            bench.pass(2_360);
+            for (int i = 0; i < 12; i++) {
+                assertTrue(client.until("\r\n").startsWith("-"), "answer " + i);
+            }
+            assertTrue(late.until("\r\n").startsWith("-"));
+            assertTrue(client.hasEnded() && late.hasEnded());
+            bench.pass(250);
+            assertTrue(left.await(10, TimeUnit.SECONDS));
+            assertEquals(0, bench.openRequests());
+        }
+    }
 }
--- a/src/test/java/kelphollow/protocol/mgmt/MgmtServerTest.java
+++ b/src/test/java/kelphollow/protocol/mgmt/MgmtServerTest.java
@@ -63,6 +63,14 @@
         assertEquals(2, calls.size(), "bad lines carry nothing out");
     }
 
+    @Test void whatComesBehindTheLineDoesNotResetItsAnswer() throws Exception {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(("status\n" + "x".repeat(100_000)).getBytes(StandardCharsets.US_ASCII));
+            assertEquals("ACK ready\n", new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+        }
+    }
+
     @Test void silentCallersDoNotHoldUpTheOthers() throws Exception {
         List<Socket> silent = new ArrayList<>();
         try {
