--- a/src/main/java/kelphollow/protocol/object/ObjectBackend.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectBackend.java
@@ -30,7 +30,7 @@
 import kelphollow.routing.Backend;
 import kelphollow.routing.Result;
 import kelphollow.routing.Ticker;
-import kelphollow.transport.Link;
+import kelphollow.transport.PooledConnection;
 import kelphollow.transport.Pools;
 
 /** Carries attempts to object servers over HTTP. */
@@ -78,10 +78,10 @@
     }
 
     /** One request and its answer on a connection. */
-    private final class Exchange implements Link.User, Transfer.Sink {
+    private final class Exchange implements PooledConnection.User, Transfer.Sink {
         private final Attempt attempt;
         private final Transfer transfer;
-        private Link link;
+        private PooledConnection link;
         private ChannelFuture written;
         private boolean bodyStarted, pieceWanted, streaming;
         private HttpResponse head;
@@ -94,7 +94,7 @@
             this.transfer = (Transfer) attempt.request().message();
         }
 
-        @Override public void up(Link up) {
+        @Override public void up(PooledConnection up) {
             link = up;
             if (!attempt.mayWrite() || transfer.streamsBody() && transfer.isSpent()) {
                 up.release();
@@ -179,7 +179,7 @@
             }
         }
 
-        @Override public void writable(Link on) {
+        @Override public void writable(PooledConnection on) {
             if (bodyStarted) {
                 attempt.progressed();
                 wantPiece();
@@ -188,7 +188,7 @@
 
         // ------------------------------------------------------------ the answer comes down
 
-        @Override public void received(Link on, Object message) {
+        @Override public void received(PooledConnection on, Object message) {
             try {
                 if (message instanceof HttpResponse response) {
                     response(response);
@@ -333,7 +333,7 @@
         // ------------------------------------------------------------ ends
 
         /** A request whose last byte was not written never ran; a body that was used up can't be sent again. */
-        @Override public void broken(Link on, Throwable cause) {
+        @Override public void broken(PooledConnection on, Throwable cause) {
             cancelTimer();
             boolean never = written == null || !written.isSuccess();
             boolean spent = transfer.isSpent() || transfer.isHeadPassed() && !transfer.isResumable();
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -31,7 +31,7 @@
                           double slowestBytesPerMilli, double stall, int parts) { }
 
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
-    private static final double SPARED = 50;
+    private static final double EVICTED_AFTER = 50;
     private static final double LINGER = 1_000;
     private static final int MOST_LINGERING = 64;
     private static final int LARGEST_LINE = 8 * 1024;
@@ -77,8 +77,8 @@
     }
 
     /** Guards usual clients against others that hold connections and ask for nothing: the longest idle one goes. */
-    @Override public void makeRoom() {
-        clients.stream().filter(c -> c.isIdle() && ticker.now() - c.idleSince() >= SPARED)
+    @Override public void evictIdle() {
+        clients.stream().filter(c -> c.isIdle() && ticker.now() - c.idleSince() >= EVICTED_AFTER)
             .min(Comparator.comparingDouble(ObjectClient::idleSince)).ifPresent(ObjectClient::close);
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespBackend.java
+++ b/src/main/java/kelphollow/protocol/resp/RespBackend.java
@@ -19,7 +19,7 @@
 import kelphollow.routing.Backend;
 import kelphollow.routing.Result;
 import kelphollow.routing.Ticker;
-import kelphollow.transport.Link;
+import kelphollow.transport.PooledConnection;
 import kelphollow.transport.Pools;
 
 /** Carries attempts to the platform's storage nodes. */
@@ -50,7 +50,7 @@
     @Override public void start(Attempt attempt) {
         Exchange exchange = new Exchange(attempt);
         attempt.carrier = exchange;
-        Link link = pools.lease(attempt.member().entry().node(), attempt.member().address(), exchange);
+        PooledConnection link = pools.lease(attempt.member().entry().node(), attempt.member().address(), exchange);
         exchange.link = link;
     }
 
@@ -65,9 +65,9 @@
     }
 
     /** One command and its answer on a connection. */
-    private final class Exchange implements Link.User {
+    private final class Exchange implements PooledConnection.User {
         private final Attempt attempt;
-        private Link link;
+        private PooledConnection link;
         private ChannelFuture written;
         private Ticker.Timeout standstill;
         private double partlyAt;
@@ -77,7 +77,7 @@
             this.attempt = attempt;
         }
 
-        @Override public void up(Link up) {
+        @Override public void up(PooledConnection up) {
             link = up;
             if (!attempt.mayWrite()) {
                 up.release();
@@ -92,7 +92,7 @@
             return (RespCall) attempt.request().message();
         }
 
-        @Override public void received(Link on, Object message) {
+        @Override public void received(PooledConnection on, Object message) {
             if (message instanceof LongValueSplitter.Head head) {
                 value = new LongValue(head.length(), on.channel(), ticker);
                 partly(on);
@@ -138,7 +138,7 @@
         }
 
         /** Guards against an answer that begins and never ends, such as a length that says too much. */
-        @Override public void partly(Link on) {
+        @Override public void partly(PooledConnection on) {
             partlyAt = ticker.now();
             if (standstill == null) {
                 standstill = ticker.after(STANDSTILL, this::look);
@@ -164,7 +164,7 @@
          * A connection that ends before the last byte was written proves that the attempt never ran. Noise in place
          * of an answer is an error, no sign of a dead node.
          */
-        @Override public void broken(Link on, Throwable cause) {
+        @Override public void broken(PooledConnection on, Throwable cause) {
             cancelTimer();
             boolean neverRan = written == null || !written.isSuccess();
             dropUnbegun();
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -46,10 +46,10 @@
     // Between the last answer and the close; at SIGTERM this has to fit between the last answers and the kill.
     private static final double LINGER = 250;
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
-    private static final double SPARED = 50;
+    private static final double EVICTED_AFTER = 50;
     // After so many commands that are none, each further one stops the reading of its connection for a time.
-    private static final int FORGIVEN = 3;
-    private static final double PENANCE = 50;
+    private static final int ERROR_ALLOWANCE = 3;
+    private static final double READ_PAUSE = 50;
 
     private final Core core;
     private final Ticker ticker;
@@ -98,11 +98,11 @@
     }
 
     /** Those that never asked go first, then those that have been idle longest. */
-    @Override public void makeRoom() {
+    @Override public void evictIdle() {
         double now = ticker.now();
         Client oldest = null;
         for (Client client : clients) {
-            if (now - client.heardAt < SPARED) {
+            if (now - client.heardAt < EVICTED_AFTER) {
                 break;
             }
             if (client.isIdle() && (oldest == null || oldest.asked && !client.asked)) {
@@ -143,7 +143,7 @@
         /** Decoded and not yet looked at. */
         private final ArrayDeque<RedisMessage> arrived = new ArrayDeque<>();
         private State state = State.SERVING;
-        private boolean asked, partly, taking, unflushed, doingPenance;
+        private boolean asked, partly, taking, unflushed, readingPaused;
         private double heardAt = ticker.now(), askedAt = heardAt;
         private ChannelFuture lastAnswer;
         private int refused, open;
@@ -258,11 +258,11 @@
         /** Guards against floods of commands that are none: each is answered, but the next is read after a pause. */
         private void refuse(Slot slot, String error) {
             slot.answer(new ErrorRedisMessage("ERR " + error));
-            if (++refused > FORGIVEN && !doingPenance) {
-                doingPenance = true;
+            if (++refused > ERROR_ALLOWANCE && !readingPaused) {
+                readingPaused = true;
                 throttle();
-                ticker.after(PENANCE, () -> {
-                    doingPenance = false;
+                ticker.after(READ_PAUSE, () -> {
+                    readingPaused = false;
                     throttle();
                 });
             }
@@ -316,7 +316,7 @@
          */
         private void throttle() {
             if (state != State.ENDED) {
-                channel.config().setAutoRead(channel.isWritable() && (!doingPenance || open > 0));
+                channel.config().setAutoRead(channel.isWritable() && (!readingPaused || open > 0));
             }
         }
 
--- a/src/main/java/kelphollow/transport/Front.java
+++ b/src/main/java/kelphollow/transport/Front.java
@@ -11,7 +11,7 @@
     int connections();
 
     /** Closes one connection that is owed nothing, so that a new one can come; does nothing if there is none. */
-    void makeRoom();
+    void evictIdle();
 
     /** Closes each connection as soon as it is owed nothing; runs the task once the last is closed. */
     void leave(Runnable whenLeft);
--- a/src/main/java/kelphollow/transport/Link.java
+++ b/src/main/java/kelphollow/transport/PooledConnection.java
@@ -11,35 +11,35 @@
  * is there only while an exchange goes on: what a node sends behind an answer, or unasked, then comes here as it is
  * and closes the connection. Guards against taking such bytes for the answer to the next request.
  */
-public final class Link extends ChannelInboundHandlerAdapter {
-    /** Who uses the connection just now. After {@link #broken} or {@link Link#release} it hears nothing more. */
+public final class PooledConnection extends ChannelInboundHandlerAdapter {
+    /** Who uses the connection just now. After {@link #broken} or {@link PooledConnection#release} it hears nothing more. */
     public interface User {
-        /** The connection is up; write now or {@link Link#release} it. */
-        void up(Link link);
+        /** The connection is up; write now or {@link PooledConnection#release} it. */
+        void up(PooledConnection link);
 
         /** A decoded message; the user releases it. */
-        void received(Link link, Object message);
+        void received(PooledConnection link, Object message);
 
         /** All that was written so far is in the kernel's hands, or the socket is full: see {@link Channel#isWritable}. */
-        default void writable(Link link) { }
+        default void writable(PooledConnection link) { }
 
         /** Bytes have come that make no message yet. */
-        default void partly(Link link) { }
+        default void partly(PooledConnection link) { }
 
         /** The connection was not made, has ended, or brought what its codec cannot read. */
-        void broken(Link link, Throwable cause);
+        void broken(PooledConnection link, Throwable cause);
     }
 
     private final Pools pools;
-    final Pools.Shelf shelf;
+    final Pools.HostPool hostPool;
     double idleSince;
     private User user;
     private Channel channel;
-    private boolean closed, reading, settling;
+    private boolean closed, reading, releasing;
 
-    Link(Pools pools, Pools.Shelf shelf, User user) {
+    PooledConnection(Pools pools, Pools.HostPool hostPool, User user) {
         this.pools = pools;
-        this.shelf = shelf;
+        this.hostPool = hostPool;
         this.user = user;
     }
 
@@ -69,7 +69,7 @@
             channel.pipeline().remove(first);
         }
         if (reading) {
-            settling = true;
+            releasing = true;
         } else if (!closed) {
             pools.keep(this);
         }
@@ -109,8 +109,8 @@
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean whole = reading;
         reading = false;
-        if (settling) {
-            settling = false;
+        if (releasing) {
+            releasing = false;
             if (!closed && channel.isActive()) {
                 idleSince = pools.now();
                 pools.keep(this);
--- a/src/main/java/kelphollow/transport/Pools.java
+++ b/src/main/java/kelphollow/transport/Pools.java
@@ -16,7 +16,7 @@
 import kelphollow.routing.Ticker;
 
 /**
- * Connections to nodes, one shelf a node. The one used last is taken first, so that the others grow old and
+ * Connections to nodes, one pool a node. The one used last is taken first, so that the others grow old and
  * are retired before the node closes them: a request written to a closing connection may or may not have run.
  */
 public final class Pools {
@@ -28,12 +28,12 @@
     private static final double QUARANTINE = 20;
 
     /** The connections to one node that carry nothing, and how many there are in all. */
-    static final class Shelf {
-        final ArrayDeque<Link> idle = new ArrayDeque<>();
+    static final class HostPool {
+        final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
         private final String node;
         private int all;
 
-        Shelf(String node) {
+        HostPool(String node) {
             this.node = node;
         }
     }
@@ -42,7 +42,7 @@
     private final Ticker ticker;
     private final Limits limits;
     private final Supplier<ChannelHandler[]> codec;
-    private final Map<String, Shelf> shelves = new HashMap<>();
+    private final Map<String, HostPool> hostPools = new HashMap<>();
     private int connections;
     private long dialled;
     /** What had come by {@code readUpTo} has been read; a loop that stood still may have more before it. */
@@ -57,12 +57,12 @@
         sweepLater();
     }
 
-    /** Hands a connection to the user by {@link Link.User#up}, at once or when dialled. */
-    public Link lease(String node, InetSocketAddress address, Link.User user) {
-        Shelf shelf = shelves.computeIfAbsent(node, n -> new Shelf(n));
+    /** Hands a connection to the user by {@link PooledConnection.User#up}, at once or when dialled. */
+    public PooledConnection lease(String node, InetSocketAddress address, PooledConnection.User user) {
+        HostPool hostPool = hostPools.computeIfAbsent(node, n -> new HostPool(n));
         double now = ticker.now();
-        for (Iterator<Link> latest = shelf.idle.descendingIterator(); latest.hasNext(); ) {
-            Link kept = latest.next();
+        for (Iterator<PooledConnection> latest = hostPool.idle.descendingIterator(); latest.hasNext(); ) {
+            PooledConnection kept = latest.next();
             if (readUpTo - kept.idleSince < QUARANTINE) {
                 continue;
             }
@@ -73,9 +73,9 @@
             }
             kept.close();
         }
-        Link link = new Link(this, shelf, user);
+        PooledConnection link = new PooledConnection(this, hostPool, user);
         connections++;
-        shelf.all++;
+        hostPool.all++;
         if (connections > limits.connections()) {
             link.ended(new java.io.IOException("no more than " + limits.connections() + " connections to nodes"));
             return link;
@@ -96,10 +96,10 @@
 
     /** Closes the connections to a node that carry nothing. */
     public void retire(String node) {
-        Shelf shelf = shelves.get(node);
-        if (shelf != null) {
-            Link link;
-            while ((link = shelf.idle.poll()) != null) {
+        HostPool hostPool = hostPools.get(node);
+        if (hostPool != null) {
+            PooledConnection link;
+            while ((link = hostPool.idle.poll()) != null) {
                 link.close();
             }
         }
@@ -121,8 +121,8 @@
         return codec.get();
     }
 
-    void keep(Link link) {
-        link.shelf.idle.addLast(link);
+    void keep(PooledConnection link) {
+        link.hostPool.idle.addLast(link);
         keptAt = ticker.now();
         if (!looking) {
             looking = true;
@@ -147,21 +147,21 @@
         });
     }
 
-    void forget(Link link) {
+    void forget(PooledConnection link) {
         connections--;
-        link.shelf.idle.remove(link);
+        link.hostPool.idle.remove(link);
         // Guards memory on days on which nodes come under ever new ids.
-        if (--link.shelf.all == 0) {
-            shelves.remove(link.shelf.node, link.shelf);
+        if (--link.hostPool.all == 0) {
+            hostPools.remove(link.hostPool.node, link.hostPool);
         }
     }
 
     private void sweepLater() {
         ticker.after(limits.idleTime() / 8, () -> {
             double old = ticker.now() - limits.idleTime() * 7 / 8;
-            for (Shelf shelf : List.copyOf(shelves.values())) {
-                while (!shelf.idle.isEmpty() && shelf.idle.peekFirst().idleSince < old) {
-                    shelf.idle.pollFirst().close();
+            for (HostPool hostPool : List.copyOf(hostPools.values())) {
+                while (!hostPool.idle.isEmpty() && hostPool.idle.peekFirst().idleSince < old) {
+                    hostPool.idle.pollFirst().close();
                 }
             }
             sweepLater();
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -54,7 +54,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
                     if (front.connections() >= mostConnections) {
-                        front.makeRoom();
+                        front.evictIdle();
                     }
                     if (front.connections() >= mostConnections) {
                         channel.close();   // descriptors are few; nothing was taken on it yet
--- a/src/test/java/kelphollow/program/PoolsTest.java
+++ b/src/test/java/kelphollow/program/PoolsTest.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import kelphollow.transport.Link;
+import kelphollow.transport.PooledConnection;
 import kelphollow.transport.Pools;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,31 +23,31 @@
     private final EventLoop loop = group.next();
     private final ManualTicker ticker = new ManualTicker(loop);
     private final Pools pools = new Pools(loop, ticker, new Pools.Limits(250, 12_000, 10), () -> new ChannelHandler[0]);
-    private final BlockingQueue<Link> up = new LinkedBlockingQueue<>();
-    private final Link.User user = new Link.User() {
-        @Override public void up(Link link) {
+    private final BlockingQueue<PooledConnection> up = new LinkedBlockingQueue<>();
+    private final PooledConnection.User user = new PooledConnection.User() {
+        @Override public void up(PooledConnection link) {
             up.add(link);
         }
 
-        @Override public void received(Link link, Object message) {
+        @Override public void received(PooledConnection link, Object message) {
             fail("nothing is to be taken for an answer");
         }
 
-        @Override public void broken(Link link, Throwable cause) { }
+        @Override public void broken(PooledConnection link, Throwable cause) { }
     };
 
     @AfterEach void end() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private Link lease(ScriptedPeer node) throws Exception {
+    private PooledConnection lease(ScriptedPeer node) throws Exception {
         loop.submit(() -> pools.lease("n", node.address(), user)).sync();
         return up.poll(10, TimeUnit.SECONDS);
     }
 
     @Test void aConnectionThatStayedQuietCarriesTheNextExchange() throws Exception {
         try (ScriptedPeer node = new ScriptedPeer()) {
-            Link first = lease(node);
+            PooledConnection first = lease(node);
             loop.submit(first::release).sync();
             for (int i = 0; i < 5; i++) {
                 ticker.advance(10);
@@ -60,7 +60,7 @@
 
     @Test void whatCameWhileTheLoopStoodStillIsReadBeforeItsConnectionIsUsedAgain() throws Exception {
         try (ScriptedPeer node = new ScriptedPeer()) {
-            Link first = lease(node);
+            PooledConnection first = lease(node);
             ScriptedPeer.Line line = node.accept();
             loop.submit(first::release).sync();
             loop.submit(() -> {
