--- a/src/test/java/kelphollow/program/HttpCallTest.java
+++ b/src/test/java/kelphollow/program/HttpCallTest.java
@@ -129,4 +129,30 @@
             }
         }
     }
+
+    @Test void aCallThatIsStoppedWhileItDialsSendsAndTellsNothing() throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer()) {
+            HttpCall calls = new HttpCall(loop, ticker, peer.address());
+            loop.execute(() -> {
+                ask(calls, "/list");
+                loop.execute(calls::close);        // the dial has begun and has not been seen to come up
+            });
+            assertTrue(peer.accept().hasEnded());
+            ticker.advance(2_000);
+            assertNull(told.poll());
+        }
+    }
+
+    @Test void anAnswerThatNeverEndsIsGivenUpInTime() throws Exception {
+        try (ScriptedPeer peer = new ScriptedPeer()) {
+            HttpCall calls = new HttpCall(loop, ticker, peer.address());
+            loop.execute(() -> ask(calls, "/list"));
+            ScriptedPeer.Line line = peer.accept();
+            asked(line);
+            line.send("HTTP/1.1 200 OK\r\n\r\nand so on");
+            ticker.advance(1_000);
+            assertEquals("failed: no answer in time", told());
+            assertTrue(line.hasEnded());
+        }
+    }
 }
