Bound a lingering close as a whole, by each front's own patience with slow readers

By reading: with one bound of 2 s for what had not left, a slow reader of the object API lost the end of a long answer (it may stand for stall_ms, 10 s), and one of the platform that never reads kept the process beyond the kill. LingeringCloseTest: with its client, after the bound, after the whole, and hard beyond the descriptors set aside.

--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -55,7 +55,7 @@
         this.ticker = ticker;
         this.options = options;
         this.startedAt = ticker.now();
-        this.lingering = new LingeringClose(ticker, LINGER, MOST_LINGERING);
+        this.lingering = new LingeringClose(ticker, options.stall(), LINGER, MOST_LINGERING);
         double settle = options.write().deadline();
         this.parts = new Parts(options.parts(), settle, ledger == null ? null : ledger.parts());
         this.completions = new Completions(options.parts(), settle, ledger == null ? null : ledger.completions());
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -43,8 +43,10 @@
     // One that has been asked on is kept longer, as long as there is room; no command may take longer to come.
     private static final double IDLE = 10_000;
     private static final double SWEEP = 100;
-    // Between the last answer and the close; at SIGTERM this has to fit between the last answers and the kill.
+    // Between the last answer and the close, and in all with a client that is slow to read: at SIGTERM connections close
+    // from 500 ms before the kill on, and by then the process has to be gone.
     private static final double LINGER = 250;
+    private static final double LINGER_OVERALL = 400;
     // Room is made at the expense of connections that have been idle for so long: none that has just come.
     private static final double EVICTED_AFTER = 50;
     // After so many commands that are none, each further one stops the reading of its connection for a time.
@@ -68,7 +70,7 @@
         this.core = core;
         this.ticker = ticker;
         this.mostClients = mostClients;
-        this.lingering = new LingeringClose(ticker, LINGER, mostClients / 6);
+        this.lingering = new LingeringClose(ticker, LINGER_OVERALL, LINGER, mostClients / 6);
         know(settings.classes());
         settings.plans().forEach(p -> plans.add(p.name()));
         sweepLater();
--- a/src/main/java/kelphollow/transport/LingeringClose.java
+++ b/src/main/java/kelphollow/transport/LingeringClose.java
@@ -25,16 +25,18 @@
         @Override public void channelReadComplete(ChannelHandlerContext ctx) { }
     }
 
-    // A client that does not take its last answers for so long is not waited for.
-    private static final double UNSENT = 2_000;
     private final Ticker ticker;
-    private final double bound;
+    private final double overall, bound;
     private final int most;
     private int connections;
 
-    /** {@code bound}: for how long, in milliseconds, a client may take to close after the last byte has left. */
-    public LingeringClose(Ticker ticker, double bound, int most) {
+    /**
+     * {@code overall}: how long it may take in all, with a client that is slow to read what it is owed; {@code bound}: how
+     * long a client may take to close after the last byte has left. In milliseconds.
+     */
+    public LingeringClose(Ticker ticker, double overall, double bound, int most) {
         this.ticker = ticker;
+        this.overall = overall;
         this.bound = bound;
         this.most = most;
     }
@@ -53,10 +55,10 @@
         connections++;
         channel.pipeline().addFirst(new Discard());
         channel.config().setAutoRead(true);
-        Ticker.Timeout unsent = ticker.after(UNSENT, channel::close);
+        Ticker.Timeout end = ticker.after(overall, channel::close);
         channel.closeFuture().addListener(closed -> {
             connections--;
-            unsent.cancel();
+            end.cancel();
         });
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> {
             if (channel.isActive()) {
--- /dev/null
+++ b/src/test/java/kelphollow/program/LingeringCloseTest.java
@@ -0,0 +1,102 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import kelphollow.transport.Front;
+import kelphollow.transport.LingeringClose;
+import kelphollow.transport.Server;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** How a connection ends whose client closes, does not close, or does not read. */
+@Timeout(20)
+class LingeringCloseTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ManualTicker ticker = new ManualTicker(loop);
+    private final LingeringClose lingering = new LingeringClose(ticker, 400, 250, 1);
+    private final BlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
+    private final InetSocketAddress address = new Server(10).listen(loop, new InetSocketAddress("127.0.0.1", 0), new Front() {
+        @Override public void accept(Channel channel) {
+            accepted.add(channel);
+        }
+
+        @Override public int connections() {
+            return 0;
+        }
+
+        @Override public void evictIdle() { }
+
+        @Override public void leave(Runnable whenLeft) { }
+    });
+
+    @AfterEach void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Channel taken() throws InterruptedException {
+        return accepted.poll(10, TimeUnit.SECONDS);
+    }
+
+    private void begin(Channel channel, int bytesOwed) throws InterruptedException {
+        loop.submit(() -> {
+            channel.write(Unpooled.wrappedBuffer(new byte[bytesOwed]));
+            lingering.begin(channel);
+        }).sync();
+    }
+
+    @Test void itClosesWithItsClient() throws Exception {
+        try (ScriptedPeer clients = new ScriptedPeer()) {
+            ScriptedPeer.Line client = clients.connect(address);
+            Channel channel = taken();
+            begin(channel, 5);
+            assertEquals(5, client.receive(5).length());
+            assertTrue(client.hasEnded());
+            client.socket.close();
+            channel.closeFuture().sync();
+            Bench.turn(loop);
+            assertEquals(0, lingering.connections());
+        }
+    }
+
+    @Test void aClientThatStaysIsClosedAfterTheBoundAndOneThatDoesNotReadAfterTheWhole() throws Exception {
+        for (int owed : new int[] {5, 32 * 1024 * 1024}) {
+            try (ScriptedPeer clients = new ScriptedPeer()) {
+                clients.connect(address);
+                Channel channel = taken();
+                begin(channel, owed);
+                ticker.advance(249);
+                assertTrue(channel.isOpen());
+                ticker.advance(owed == 5 ? 1 : 150);
+                assertEquals(owed != 5, channel.isOpen());
+                ticker.advance(1);
+                assertFalse(channel.isOpen(), owed + " bytes owed");
+                Bench.turn(loop);
+                assertEquals(0, lingering.connections());
+            }
+        }
+    }
+
+    @Test void beyondItsDescriptorsAConnectionClosesAtOnce() throws Exception {
+        try (ScriptedPeer clients = new ScriptedPeer()) {
+            clients.connect(address);
+            begin(taken(), 5);
+            clients.connect(address);
+            Channel second = taken();
+            begin(second, 5);
+            assertFalse(second.isOpen());
+            assertEquals(1, lingering.connections());
+        }
+    }
+}
