Let the first call to discovery answer at once, so that a start need not wait for it

The first call now waits 1 ms only; it brings what is new since the list in the file, or nothing, at once.

--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -23,6 +23,8 @@
  */
 public final class DiscoveryWatch implements Directory, HttpCall.Reply {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
+    // The first call says at once what is new since the list that the scheduler was given: its start waits for that.
+    private static final int AT_ONCE = 1;
     // How much shorter than the longest wait a call's own may be, by chance.
     private static final double SPREAD = 0.25;
 
@@ -31,7 +33,7 @@
     private final Core core;
     private final Random random;
     private long version;
-    private boolean watching, stopped, askWhole;
+    private boolean first = true, watching, stopped, askWhole;
     private int older;
 
     /**
@@ -61,12 +63,13 @@
 
     private void call() {
         boolean whole = version < 0 || askWhole;
-        int wait = whole ? 0 : (int) (ListBudget.WAIT * (1 - SPREAD * random.nextDouble()));
+        int wait = whole ? 0 : first ? AT_ONCE : (int) (ListBudget.WAIT * (1 - SPREAD * random.nextDouble()));
+        first = false;
         String path = whole ? "/catalog/members" : "/catalog/members?index=" + version + "&wait=" + wait;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
-        calls.send(request, whole ? ListBudget.WHOLE_PATIENCE : wait + ListBudget.PATIENCE, this);
+        calls.send(request, wait <= AT_ONCE ? ListBudget.AT_ONCE_PATIENCE : wait + ListBudget.PATIENCE, this);
     }
 
     @Override public void answered(int status, String body) {
--- a/src/main/java/kelphollow/routing/ListBudget.java
+++ b/src/main/java/kelphollow/routing/ListBudget.java
@@ -13,8 +13,8 @@
     public static final double WAIT = 1_400;
     /** What a call may take beyond its wait; then its connection is taken for silent. */
     public static final double PATIENCE = 1_000;
-    /** The same for the whole list: after a new configuration its news counts as told after 4 s, one lost call included. */
-    public static final double WHOLE_PATIENCE = 1_800;
+    /** What a call that does not wait may take: after a new configuration news counts as told after 4 s, one lost call included. */
+    public static final double AT_ONCE_PATIENCE = 1_800;
     /** A call that brings news at once may wait its turn at discovery for so long; then it is turned away. */
     public static final double TURN = 2_000;
 
