Let a start that cannot listen end with 1 again, not with 0

Found on reading the change: the leaving is now set up before the clients' socket opens, and its hook halts with 0, so an address in use ended the process as if all were in order. Serve takes the hook away when opening fails. StartTest starts the program on a taken address; with SIGTERM during a start and HangUpTest green. The whole suite was not run again after this commit.

--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -66,11 +66,18 @@
         }
         Management management = operations.mgmt() == null ? null
             : manage(scheduler, operations.mgmt(), file == null ? Management.bansFile() : Management.bansFile(name));
-        leaveOnTerm(scheduler, settings, management);
+        Thread leave = leaveOnTerm(scheduler, settings, management);
         Signal.handle(new Signal("TERM"), usual);
-        boolean inherited = operations.inherited();
-        InetSocketAddress at = inherited ? takeOver(scheduler, management) : scheduler.listen(address);
-        LOG.info(() -> "serves at " + Scheduler.text(at));
+        InetSocketAddress at = null;
+        try {
+            at = operations.inherited() ? takeOver(scheduler, management) : scheduler.listen(address);
+        } finally {
+            if (at == null) {              // a start that failed must not look like an end in order
+                Runtime.getRuntime().removeShutdownHook(leave);
+            }
+        }
+        InetSocketAddress open = at;
+        LOG.info(() -> "serves at " + Scheduler.text(open));
         if (management != null) {
             management.listening(System.currentTimeMillis());
         }
@@ -136,9 +143,9 @@
         }
     }
 
-    private static void leaveOnTerm(Scheduler scheduler, Settings settings, Management management) {
+    private static Thread leaveOnTerm(Scheduler scheduler, Settings settings, Management management) {
         double longest = settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        Thread leave = new Thread(() -> {
             if (management != null) {
                 management.leaving();
             }
@@ -167,6 +174,8 @@
             System.err.println("kelphollow: left" + (all ? "" : " with connections open") + "; "
                 + Invariant.broken() + " invariants broken");
             Runtime.getRuntime().halt(0);   // an exit by signal would tell of a failure
-        }, "leave"));
+        }, "leave");
+        Runtime.getRuntime().addShutdownHook(leave);
+        return leave;
     }
 }
--- a/src/test/java/kelphollow/program/StartTest.java
+++ b/src/test/java/kelphollow/program/StartTest.java
@@ -33,16 +33,20 @@
         }
     }
 
+    /** The program on a file with these addresses; its log is in the folder. */
+    private Process start(InetSocketAddress listen, InetSocketAddress discovery) throws Exception {
+        Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + listen.getPort()
+            + "\",\"discovery\":\"127.0.0.1:" + discovery.getPort() + "\",\"settings\":" + settings() + "}");
+        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+            System.getProperty("java.class.path"), Main.class.getName(), "serve").redirectErrorStream(true)
+            .redirectOutput(folder.resolve("log").toFile());
+        builder.environment().put("GW_CONFIG", file.toString());
+        return builder.start();
+    }
+
     @Test void sigtermDuringAStartEndsItInOrder() throws Exception {
         try (ScriptedPeer discovery = new ScriptedPeer()) {
-            String address = "127.0.0.1:" + discovery.address().getPort();
-            Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + address
-                + "\",\"settings\":" + settings() + "}");
-            ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "serve").redirectErrorStream(true)
-                .redirectOutput(folder.resolve("log").toFile());
-            builder.environment().put("GW_CONFIG", file.toString());
-            Process program = builder.start();
+            Process program = start(new InetSocketAddress("127.0.0.1", 0), discovery.address());
             try {
                 discovery.accept();            // asked before the warm-up, long before the clients' socket is open
                 program.destroy();
@@ -55,6 +59,18 @@
         }
     }
 
+    @Test void aStartThatCannotListenDoesNotEndAsIfAllWereInOrder() throws Exception {
+        try (ScriptedPeer holder = new ScriptedPeer()) {
+            Process program = start(holder.address(), new InetSocketAddress("127.0.0.1", 1));
+            try {
+                assertTrue(program.waitFor(30, TimeUnit.SECONDS));
+                assertEquals(1, program.exitValue());
+            } finally {
+                program.destroyForcibly().waitFor();
+            }
+        }
+    }
+
     private static String settings() throws Exception {
         String text = Files.readString(Path.of("deploy/objects.json"));
         int at = text.indexOf("\"settings\"");
