--- a/src/main/java/kelphollow/adapter/Adapter.java
+++ b/src/main/java/kelphollow/adapter/Adapter.java
@@ -139,7 +139,7 @@
             case "ENDPOINTS" -> {
                 String form = text(at(m, 3), "form");
                 if (form.equals("Error")) {
-                    return new ControlApi.ListFailed(false);
+                    return new ControlApi.ListFailed(ControlApi.ListFailure.WATCH_BROKE);
                 }
                 List<ControlApi.NodeEntry> nodes = rosters.get((int) number(at(m, 1), "page"));
                 if (nodes == null) {
--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -140,7 +140,7 @@
         } else if (event instanceof NodeList l) {
             learnList(l);
         } else if (event instanceof ListFailed f) {
-            listPace.failed(this.now, f.turnedAway());
+            listPace.failed(this.now, f.failure() == ListFailure.TURNED_AWAY);
         } else if (event instanceof Leaving l) {
             leaveBy = l.by();
             for (Request r : open.values()) {
@@ -250,7 +250,7 @@
         RequestClass kind = classes.get(a.requestClass());
         Plan plan = plans.get(a.plan());
         if (kind == null || plan == null || !(a.units() >= 0)) {
-            out.add(new Refuse(a.id(), 0));   // unknown class or plan: it never ran
+            out.add(new Refuse(a.id(), 0, Reason.UNKNOWN_CLASS));   // it never ran
             return;
         }
         largest = Math.max(Math.max(largest, settings.unitMean()), a.units());
@@ -274,8 +274,12 @@
         r.volume.gate.share(Math.max(1, a.hosts()), now);
         if (!limitsLeft.isEmpty()) r.volume.gate.left(limitsLeft.remove(name), now);
         open.put(a.id(), r);
-        if (r.volume.gate.fillsLate(a.units(), r.aimAt, now) || a.again() && !mayComeAgain(a)) {
-            answer(r);                     // beyond the limit by more than it can wait, or its node's repeats
+        if (r.volume.gate.fillsLate(a.units(), r.aimAt, now)) {
+            answer(r, Reason.LIMIT);
+            return;
+        }
+        if (a.again() && !mayComeAgain(a)) {
+            answer(r, Reason.REPEATS_BOUND);
             return;
         }
         r.late = now >= r.aimAt;
@@ -753,7 +757,7 @@
         r.late = true;
         tags.giveBack(r);
         h.add(r);
-        if (r.tries == 0) answer(r);       // given up on: the client may still find help elsewhere, or later
+        if (r.tries == 0) answer(r, Reason.OVERLOAD);   // its client may find help elsewhere, or later
     }
 
     private boolean mayLeave(Request r, Node n) {
@@ -878,7 +882,7 @@
             if (!r.late) r.volume.busy.add(r);   // back among the tags that shift together
             heldFor(r).add(r);
         } else {
-            answer(r);
+            answer(r, now >= r.answerAt ? Reason.TIME_OVER : Reason.NO_REPEAT);
         }
     }
 
@@ -898,10 +902,10 @@
     }
 
     /** Gives the final answer: a refusal where a repeat does no harm, a failure otherwise. */
-    private void answer(Request r) {
+    private void answer(Request r, Reason reason) {
         boolean harmless = r.proved() || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.group() == Group.ALL;
-        out.add(harmless ? new Refuse(r.in.id(), comeBack(r)) : new Fail(r.in.id()));
+        out.add(harmless ? new Refuse(r.in.id(), comeBack(r), reason) : new Fail(r.in.id(), reason));
         callOff(r);
         close(r);
     }
@@ -949,8 +953,10 @@
         while (!dues.isEmpty() && dues.peek().at <= now) {
             Request r = dues.poll().request;
             if (open.get(r.in.id()) != r || r.streaming && now < leaveBy) continue;
-            if (now >= r.answerAt || now >= r.holdUntil && r.isHeld && !r.reached) {
-                answer(r);
+            if (now >= r.answerAt) {
+                answer(r, Reason.TIME_OVER);
+            } else if (now >= r.holdUntil && r.isHeld && !r.reached) {
+                answer(r, Reason.NOT_PLACED);
             } else if (now >= r.aimAt && !r.late) {
                 if (r.isHeld) leaveTagOrder(r);
                 r.late = true;
--- a/src/main/java/kelphollow/decision/ControlApi.java
+++ b/src/main/java/kelphollow/decision/ControlApi.java
@@ -68,11 +68,20 @@
      */
     public record Retuned(List<RequestClass> classes, int maxAttempts) implements Event {}
 
-    /**
-     * A call for the list failed, or the subscription broke. {@code turnedAway}: the call was to begin a subscription, and
-     * the service answered that it would not serve it; false when that is not known.
-     */
-    public record ListFailed(boolean turnedAway) implements Event {}
+    /** How a call for the node list failed. */
+    public enum ListFailure {
+        /** A subscription that went on has broken, or it is not known what failed. */
+        WATCH_BROKE,
+        /** A call that was to begin a subscription had no answer: refused, reset, or silent. */
+        NO_ANSWER,
+        /** The service answered that it would not serve the call that was to begin a subscription. */
+        TURNED_AWAY,
+        /** The service is there, but its answer cannot be used. */
+        UNUSABLE_ANSWER
+    }
+
+    /** A call for the list failed, or the subscription broke. */
+    public record ListFailed(ListFailure failure) implements Event {}
 
     /** This instance ends soon: what is open at that time gets its final answer then. */
     public record Leaving(double by) implements Event {}
@@ -127,6 +136,24 @@
     /** A timer asked for with {@link SetTimer} is due. */
     public record TimerFired(String name) implements Event {}
 
+    /** Why a request got a final answer without being served. */
+    public enum Reason {
+        /** Its class or plan is not known. */
+        UNKNOWN_CLASS,
+        /** Its volume's limit holds its units too late for it. */
+        LIMIT,
+        /** A retry of its client, and the node's bound on repeats is reached. */
+        REPEATS_BOUND,
+        /** It would come too late behind what is worth more. */
+        OVERLOAD,
+        /** No node took it within the part of its time for which it may be held. */
+        NOT_PLACED,
+        /** Its time is over, or this instance ends. */
+        TIME_OVER,
+        /** Its last attempt ended without an answer, and it may not be sent again. */
+        NO_REPEAT
+    }
+
     /** Something the instance decides. */
     public sealed interface Action {}
 
@@ -137,10 +164,10 @@
     public record Send(String id, String node, double timeout, double writeBy) implements Action {}
 
     /** Final answer: refused, the client may safely try again, best after so many milliseconds (0: no advice). */
-    public record Refuse(String id, double after) implements Action {}
+    public record Refuse(String id, double after, Reason reason) implements Action {}
 
     /** Final answer: failed, nothing is promised. */
-    public record Fail(String id) implements Action {}
+    public record Fail(String id, Reason reason) implements Action {}
 
     /** Stop waiting for an attempt. */
     public record Cancel(String id, int attempt) implements Action {}
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.RequestClass;
@@ -47,6 +49,8 @@
     // And so long before it connections that are owed nothing close. Clients keep using those they have for as long as
     // they stay open and have no other scheduler: what would come later is lost to them, so even a short chance is taken.
     private static final double LAST_REQUESTS = LAST_ANSWERS + 150;
+    // For so many milliseconds an end waits for the counters that it logs.
+    private static final long COUNTERS_MOST = 100;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
@@ -201,6 +205,18 @@
         return ledger;
     }
 
+    /** What became of requests and attempts, for the log; on any thread but the loop's. */
+    String counters() {
+        try {
+            return onLoop(Core::counters).get(COUNTERS_MOST, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "requests: not counted";
+        } catch (ExecutionException | TimeoutException e) {
+            return "requests: not counted: " + e;
+        }
+    }
+
     /** After everybody has left: what must outlive the end is written, and the folders are let go. */
     void end() {
         if (ledger != null) {
@@ -217,7 +233,7 @@
     }
 
     private DiscoveryWatch watch(InetSocketAddress discovery, long version) {
-        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), text(discovery), core, version, listRandom);
+        return new DiscoveryWatch(new HttpCall(loop, ticker, discovery), ticker, text(discovery), core, version, listRandom);
     }
 
     private void keep(List<Member> members) {
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -166,6 +166,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+            LOG.info(scheduler.counters());
             if (all) {
                 scheduler.end();
             } else {
--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -10,10 +10,12 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.logging.Logger;
+import kelphollow.decision.ControlApi.ListFailure;
 import kelphollow.protocol.json.Json;
 import kelphollow.routing.Core;
 import kelphollow.routing.Directory;
 import kelphollow.routing.ListBudget;
+import kelphollow.routing.Ticker;
 import kelphollow.transport.HttpCall;
 
 /**
@@ -24,6 +26,7 @@
  */
 public final class DiscoveryWatch implements Directory, HttpCall.Reply {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
+    private static final int OK = 200;
     private static final int AT_ONCE = 1;
     // Answers of a service that is there and has no room for the call.
     private static final Set<Integer> TURNED_AWAY = Set.of(429, 503);
@@ -31,6 +34,7 @@
     private static final double SPREAD = 0.25;
 
     private final HttpCall calls;
+    private final Ticker ticker;
     private final String host;
     private final Core core;
     private final Random random;
@@ -41,13 +45,18 @@
     private boolean beginning;
     private boolean watching, stopped, askWhole;
     private int older;
+    /** The call under way: its number since the start, when it was made, and for how long it asked to be held. */
+    private long number;
+    private double calledAt;
+    private int wait;
 
     /**
      * {@code version} is that of the list the scheduler was started with, and only changes since then are asked for;
      * below 0 it asks for the whole list. {@code random} spreads the calls of many schedulers.
      */
-    public DiscoveryWatch(HttpCall calls, String host, Core core, long version, Random random) {
+    public DiscoveryWatch(HttpCall calls, Ticker ticker, String host, Core core, long version, Random random) {
         this.calls = calls;
+        this.ticker = ticker;
         this.host = host;
         this.core = core;
         this.version = version;
@@ -69,11 +78,13 @@
 
     private void call() {
         boolean whole = version < 0 || askWhole;
-        int wait = whole ? 0 : begins ? AT_ONCE : (int) (ListBudget.WAIT * (1 - SPREAD * random.nextDouble()));
+        wait = whole ? 0 : begins ? AT_ONCE : (int) (ListBudget.WAIT * (1 - SPREAD * random.nextDouble()));
         double patience = version < 0 ? ListBudget.MOVED_PATIENCE
             : wait <= AT_ONCE ? ListBudget.TURN_PATIENCE : wait + ListBudget.PATIENCE;
         beginning = begins;
         begins = false;
+        calledAt = ticker.now();
+        number++;
         String path = whole ? "/catalog/members" : "/catalog/members?index=" + version + "&wait=" + wait;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
@@ -82,37 +93,57 @@
     }
 
     @Override public void answered(int status, String body) {
-        if (status != 200) {
-            ended("status " + status, beginning && TURNED_AWAY.contains(status));
+        if (status != OK) {
+            ended("status " + status, TURNED_AWAY.contains(status) ? ListFailure.TURNED_AWAY : ListFailure.UNUSABLE_ANSWER);
             return;
         }
         Members news;
         try {
             news = Members.read(Json.parse(body));
         } catch (IOException | IllegalArgumentException e) {
-            failed("malformed list: " + e.getMessage());
+            ended("malformed list: " + e.getMessage(), ListFailure.UNUSABLE_ANSWER);
             return;
         }
         if (news.version() < version && (!askWhole || !news.whole() || ++older < 2)) {
             askWhole = true;
-            failed("version " + news.version() + " after " + version);
+            ended("version " + news.version() + " after " + version, ListFailure.UNUSABLE_ANSWER);
             return;
         }
+        if (news.version() != version) {
+            logNews(news);
+        }
+        double asOf = completeUpTo(news);
         version = news.version();
         askWhole = false;
         older = 0;
         call();
-        core.learn(news.members(), news.whole(), false);
+        core.learn(news.members(), news.whole(), asOf);
+    }
+
+    /**
+     * Up to when an answer surely holds all that the service had to tell: when it was asked for, or, where it says that
+     * nothing changed, until its wait was over.
+     */
+    private double completeUpTo(Members news) {
+        boolean waited = news.version() == version && !news.whole() && ticker.now() - calledAt >= wait;
+        return waited ? calledAt + wait : calledAt;
+    }
+
+    private void logNews(Members news) {
+        LOG.info(() -> "discovery: call " + number + ": version " + news.version() + (news.whole() ? ", whole" : "") + ", "
+            + news.members().size() + " entries, after " + (long) (ticker.now() - calledAt) + " ms");
     }
 
     @Override public void failed(String why) {
-        ended(why, false);
+        ended(why, ListFailure.NO_ANSWER);
     }
 
-    private void ended(String why, boolean turnedAway) {
-        LOG.info(() -> "discovery: " + why);
+    private void ended(String why, ListFailure failure) {
+        boolean broke = !beginning && failure != ListFailure.UNUSABLE_ANSWER;
+        LOG.info(() -> "discovery: call " + number + (beginning ? ", to begin a watch," : " of a watch") + " of version " + version
+            + " failed after " + (long) (ticker.now() - calledAt) + " ms: " + why);
         watching = false;
         begins = true;
-        core.listFailed(turnedAway);
+        core.listFailed(broke ? ListFailure.WATCH_BROKE : failure);
     }
 }
--- a/src/main/java/kelphollow/protocol/xds/XdsPoll.java
+++ b/src/main/java/kelphollow/protocol/xds/XdsPoll.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
+import kelphollow.decision.ControlApi.ListFailure;
 import kelphollow.protocol.json.Json;
 import kelphollow.routing.Core;
 import kelphollow.routing.Directory;
@@ -146,7 +147,7 @@
             @Override public void failed(String why) {
                 LOG.warning(() -> "xDS, last good list stands: " + why);
                 watching = false;
-                core.listFailed(false);
+                core.listFailed(ListFailure.WATCH_BROKE);
             }
         });
     }
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -12,7 +12,7 @@
     private final Core core;
     private final Request request;
     private final Member member;
-    private final double giveUpAt, writeBy;
+    private final double sentAt, giveUpAt, writeBy;
     private boolean out = true;
     private double beganAt = -1;
     private double heardAt;
@@ -25,6 +25,7 @@
         this.request = request;
         this.number = number;
         this.member = member;
+        this.sentAt = sentAt;
         this.owedSince = sentAt;
         this.stalledBefore = core.stalledFor();
         this.giveUpAt = giveUpAt;
@@ -49,13 +50,44 @@
     }
 
     /**
-     * To be asked when a connection is up and before the first byte is written. Guards against a drain, a
-     * cancellation, a deadline or the end of the time in which repeats are dropped that came while the connection was
-     * being dialled.
+     * To be asked when a connection is up and before the first byte is written, which must follow at once. Guards against
+     * a drain, a cancellation, a deadline or the end of the time in which repeats are dropped that came while the connection
+     * was being dialled.
      */
     public boolean mayWrite() {
-        return out && !request.over && remaining() > 0 && (writeBy <= 0 || core.now() < writeBy)
-            && core.wantsWork(member.entry().node());
+        WriteVerdict verdict = verdict();
+        core.looked(this, verdict);
+        return verdict == WriteVerdict.ALLOWED;
+    }
+
+    private WriteVerdict verdict() {
+        if (!out) {
+            return WriteVerdict.ATTEMPT_ENDED;
+        }
+        if (request.over) {
+            return WriteVerdict.REQUEST_OVER;
+        }
+        if (remaining() <= 0) {
+            return WriteVerdict.TIME_OVER;
+        }
+        if (writeBy > 0 && core.now() >= writeBy) {
+            return WriteVerdict.WINDOW_OVER;
+        }
+        return core.wantsWork(member.entry().node()) ? WriteVerdict.ALLOWED : WriteVerdict.NODE_UNWANTED;
+    }
+
+    /** Names it in the log: request and attempt by the core's numbers, and the node. */
+    @Override public String toString() {
+        return "request " + request.facts().id() + " attempt " + number + " at " + member.entry().node() + (out ? " (out)" : "");
+    }
+
+    /** Whether its answer has begun to be passed on. */
+    boolean hasBegun() {
+        return beganAt >= 0;
+    }
+
+    double sentAt() {
+        return sentAt;
     }
 
     /** The answer has begun to be passed on to the client: from here on no deadline runs. */
--- a/src/main/java/kelphollow/routing/ListWatch.java
+++ b/src/main/java/kelphollow/routing/ListWatch.java
@@ -1,5 +1,7 @@
 package kelphollow.routing;
 
+import java.util.logging.Logger;
+
 /**
  * Keeps the watch of the node list going. A list that must be asked for is one service's work for all schedulers, so
  * the module says when to ask again after a failure. A pushed one is had from an agent on this machine, at no cost and
@@ -7,14 +9,20 @@
  * that lives on the list it was started with because no one asked. Lives on the core's event loop.
  */
 final class ListWatch {
+    private static final Logger LOG = Logger.getLogger(ListWatch.class.getName());
+
     private final Ticker ticker;
     private Directory directory = () -> {};
     private boolean pushed;
     private double pause = ListBudget.FIRST_PAUSE;
     private Ticker.Timeout renewal;
+    private final double startedAt;
+    /** Up to when all that the service had to tell has been heard; infinite where nobody counts. */
+    private double heardUpTo = Double.NaN;
 
     ListWatch(Ticker ticker) {
         this.ticker = ticker;
+        this.startedAt = ticker.now();
     }
 
     /** The list comes from here from now on; whatever came before tells nothing more. {@link #ask} begins the watch. */
@@ -31,11 +39,30 @@
         directory.watch();
     }
 
-    /** A list has come: the next failure is a first one. */
-    void heard() {
+    /** A list has come, complete up to {@code asOf}: the next failure is a first one. */
+    void heard(double asOf) {
+        if (Double.isNaN(heardUpTo)) {
+            LOG.info(() -> "node list: first heard " + (long) (ticker.now() - startedAt) + " ms after the start");
+        }
+        heardUpTo = asOf;
         pause = ListBudget.FIRST_PAUSE;
     }
 
+    /** How old the list is. */
+    ListAge age() {
+        if (Double.isNaN(heardUpTo)) {
+            return ListAge.NEVER_HEARD;
+        }
+        return ticker.now() - heardUpTo < ListBudget.TOLD_AFTER ? ListAge.CURRENT : ListAge.OLD;
+    }
+
+    /** Since when nothing has been heard, for the log. */
+    String describe() {
+        double now = ticker.now();
+        return Double.isNaN(heardUpTo) ? "started " + (long) (now - startedAt) + " ms ago"
+            : "heard up to " + (long) (now - heardUpTo) + " ms ago";
+    }
+
     /** The watch has ended. Returns whether the module must say when it begins again. */
     boolean failed() {
         if (pushed) {
--- a/src/main/java/kelphollow/routing/Request.java
+++ b/src/main/java/kelphollow/routing/Request.java
@@ -11,6 +11,7 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     boolean over;
     Outcome last;
+    private boolean toldOverdue;
     private final Arrival facts;
     private final Object message;
 
@@ -30,6 +31,15 @@
         return message;
     }
 
+    /** Whether it is told for the first time that this request is open past its time. Bodies that flow have no such time. */
+    boolean becomesOverdue() {
+        if (toldOverdue || attempts.stream().anyMatch(a -> a.isOut() && a.hasBegun())) {
+            return false;
+        }
+        toldOverdue = true;
+        return true;
+    }
+
     boolean timedOut() {
         return last == Outcome.TIMED_OUT || attempts.stream().anyMatch(Attempt::isOut);
     }
