--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -20,11 +20,6 @@
 public final class Core implements NodeControl {
     private static final Logger LOG = Logger.getLogger(Core.class.getName());
 
-    /** How often the counters are logged while they change, in milliseconds. */
-    private static final double COUNTERS_EVERY = 10_000;
-    /** How long past its time a request is open when the log tells it, and how often that is looked at, in milliseconds. */
-    private static final double OVERDUE = 200;
-
     private final Control control;
     private final Ticker ticker;
     private final Backend backend;
@@ -44,8 +39,7 @@
     private boolean busy;
     private long ids;
     private final StallDetector stalls;
-    private final RequestCounters counters = new RequestCounters();
-    private final BoundedLog notWritten = new BoundedLog(LOG), oldList = new BoundedLog(LOG), overdue = new BoundedLog(LOG);
+    private final RequestLog log;
 
     public Core(Control control, Ticker ticker, Backend backend) {
         this.control = control;
@@ -53,6 +47,7 @@
         this.backend = backend;
         this.list = new ListWatch(ticker);
         this.stalls = new StallDetector(ticker);
+        this.log = new RequestLog(ticker, open.values(), list);
     }
 
     /**
@@ -65,8 +60,7 @@
             list.ask();
         }
         stalls.start();
-        countLater(counters.summary());
-        lookForOverdue();
+        log.start();
         busy = true;
         carryOut(control.start());
         busy = false;
@@ -109,30 +103,7 @@
 
     /** What became of requests and attempts since the start, as one line. */
     public String counters() {
-        return counters.summary();
-    }
-
-    /** Requests that are open past their time, each told once. */
-    private void lookForOverdue() {
-        double now = now();
-        for (Request request : open.values()) {
-            if (now > request.facts().deadline() + OVERDUE && request.becomesOverdue()) {
-                counters.overdue();
-                overdue.info(now, () -> "request " + request.facts().id() + " has no final answer "
-                    + (long) (now - request.facts().deadline()) + " ms after its time: " + request.attempts);
-            }
-        }
-        ticker.after(OVERDUE, this::lookForOverdue);
-    }
-
-    private void countLater(String told) {
-        ticker.after(COUNTERS_EVERY, () -> {
-            String summary = counters.summary();
-            if (!summary.equals(told)) {
-                LOG.info(summary);
-            }
-            countLater(summary);
-        });
+        return log.summary();
     }
 
     /** For how long in all this loop has been stalled, in milliseconds. */
@@ -151,7 +122,7 @@
         Arrival own = new Arrival(id, facts.requestClass(), facts.plan(), facts.key(), facts.deadline(),
             facts.volume(), facts.units(), facts.cell(), facts.hosts(), facts.again());
         Request request = new Request(own, message, caller);
-        counters.taken();
+        log.taken();
         double comeAgain = admission.advice(own);
         if (comeAgain >= 0) {
             request.over = true;
@@ -166,7 +137,7 @@
     /** The client has left: nothing is owed any more and what is out for it is called off. */
     public void gone(Request request) {
         if (!request.over) {
-            counters.clientGone();
+            log.clientGone();
             close(request);
             tell(new ClientGone(request.facts().id()));
         }
@@ -364,17 +335,7 @@
 
     /** An attempt's connection is up, and this became of the question whether it may be written. */
     void looked(Attempt attempt, WriteVerdict verdict) {
-        double now = now();
-        if (verdict != WriteVerdict.ALLOWED) {
-            counters.notWritten(verdict);
-            notWritten.info(now, () -> attempt + " is not written: " + verdict + ", " + (long) (now - attempt.sentAt()) + " ms after it was sent");
-            return;
-        }
-        ListAge age = list.age();
-        counters.written(age);
-        if (age != ListAge.CURRENT) {
-            oldList.info(now, () -> attempt + " is written by a list of age " + age + ", " + list.describe());
-        }
+        log.looked(attempt, verdict);
     }
 
     void began(Attempt attempt) {
@@ -394,11 +355,11 @@
         }
         Request request = attempt.request();
         out.remove(request.facts().id() + '#' + attempt.number);
-        counters.attemptEnded(result.outcome());
+        log.ended(result.outcome());
         request.last = result.outcome();
         if (result.outcome() == Outcome.SERVED && !request.over) {
             close(request);
-            counters.served();
+            log.served();
             request.caller.served(result.answer());
         }
         tell(new AttemptDone(request.facts().id(), attempt.number, attempt.member().entry().node(), result.outcome(),
@@ -444,7 +405,7 @@
             } else if (action instanceof Refuse a) {
                 Request request = conclude(a.id());
                 if (request != null) {
-                    counters.refused(a.reason());
+                    log.refused(a.reason());
                     if (request.attempts.isEmpty()) {
                         admission.refused(request.facts());
                     }
@@ -453,7 +414,7 @@
             } else if (action instanceof Fail a) {
                 Request request = conclude(a.id());
                 if (request != null) {
-                    counters.failed(a.reason());
+                    log.failed(a.reason());
                     request.caller.failed(request.timedOut());
                 }
             } else if (action instanceof Cancel a) {
@@ -474,9 +435,7 @@
         double giveUpAt = a.timeout() > 0 ? Math.min(request.facts().deadline(), now + a.timeout())
             : request.facts().deadline();
         Attempt attempt = new Attempt(this, request, request.attempts.size(), member, now, giveUpAt, a.writeBy());
-        if (attempt.number > 0) {
-            counters.repeat();
-        }
+        log.sent(attempt);
         request.attempts.add(attempt);
         out.put(a.id() + '#' + attempt.number, attempt);
         attempt.timeout = ticker.after(giveUpAt - now, () -> giveUp(attempt, Outcome.TIMED_OUT));
--- /dev/null
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -0,0 +1,112 @@
+package kelphollow.routing;
+
+import java.util.Collection;
+import java.util.logging.Logger;
+import kelphollow.decision.ControlApi.Outcome;
+import kelphollow.decision.ControlApi.Reason;
+
+/**
+ * Tells the log what becomes of requests and attempts: counters in one line every {@link #COUNTERS_EVERY} ms while they
+ * change, and single cases that should be rare at a bounded rate. Decides nothing. For the core's event loop.
+ */
+final class RequestLog {
+    private static final Logger LOG = Logger.getLogger(RequestLog.class.getName());
+    /** How often the counters are logged while they change, in milliseconds. */
+    private static final double COUNTERS_EVERY = 10_000;
+    /** How long past its time a request is open when it is told, and how often that is looked at, in milliseconds. */
+    private static final double OVERDUE = 200;
+
+    private final Ticker ticker;
+    private final Collection<Request> open;
+    private final ListWatch list;
+    private final RequestCounters counters = new RequestCounters();
+    private final BoundedLog withheld = new BoundedLog(LOG);
+    private final BoundedLog oldList = new BoundedLog(LOG);
+    private final BoundedLog overdue = new BoundedLog(LOG);
+
+    /** {@code open}: the requests that have no final answer yet, as they are at any time. */
+    RequestLog(Ticker ticker, Collection<Request> open, ListWatch list) {
+        this.ticker = ticker;
+        this.open = open;
+        this.list = list;
+    }
+
+    /** Starts the lines that come by time; they end with the loop. */
+    void start() {
+        countLater(counters.summary());
+        lookForOverdue();
+    }
+
+    private void countLater(String told) {
+        ticker.after(COUNTERS_EVERY, () -> {
+            String summary = counters.summary();
+            if (!summary.equals(told)) {
+                LOG.info(summary);
+            }
+            countLater(summary);
+        });
+    }
+
+    private void lookForOverdue() {
+        double now = ticker.now();
+        for (Request request : open) {
+            if (now > request.facts().deadline() + OVERDUE && request.becomesOverdue()) {
+                counters.overdue();
+                overdue.info(now, () -> "request " + request.facts().id() + " has no final answer "
+                    + (long) (now - request.facts().deadline()) + " ms after its time: " + request.attempts);
+            }
+        }
+        ticker.after(OVERDUE, this::lookForOverdue);
+    }
+
+    /** All counters as one line. */
+    String summary() {
+        return counters.summary();
+    }
+
+    void taken() {
+        counters.taken();
+    }
+
+    void served() {
+        counters.served();
+    }
+
+    void clientGone() {
+        counters.clientGone();
+    }
+
+    void refused(Reason reason) {
+        counters.refused(reason);
+    }
+
+    void failed(Reason reason) {
+        counters.failed(reason);
+    }
+
+    void sent(Attempt attempt) {
+        if (attempt.number > 0) {
+            counters.repeat();
+        }
+    }
+
+    void ended(Outcome outcome) {
+        counters.attemptEnded(outcome);
+    }
+
+    /** An attempt's connection is up, and this became of the question whether it may be written. */
+    void looked(Attempt attempt, WriteVerdict verdict) {
+        double now = ticker.now();
+        if (verdict != WriteVerdict.ALLOWED) {
+            counters.notWritten(verdict);
+            withheld.info(now, () -> attempt + " is not written: " + verdict + ", " + (long) (now - attempt.sentAt())
+                + " ms after it was sent");
+            return;
+        }
+        ListAge age = list.age();
+        counters.written(age);
+        if (age != ListAge.CURRENT) {
+            oldList.info(now, () -> attempt + " is written by a list of age " + age + ", " + list.describe());
+        }
+    }
+}
--- a/src/main/java/kelphollow/routing/WriteVerdict.java
+++ b/src/main/java/kelphollow/routing/WriteVerdict.java
@@ -2,6 +2,7 @@
 
 /** Whether the first byte of an attempt may be written now, and if not, why. */
 public enum WriteVerdict {
+    /** It may. */
     ALLOWED,
     /** The attempt has ended, by its time-out or by a cancellation. */
     ATTEMPT_ENDED,
