Add a failing test: a restarted process sends by its file's list before discovery spoke

Two real processes, a scripted discovery and a scripted node: SIGKILL, a list that changed meanwhile, a start under the same address. The second process dials the node that has left the list.

--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -140,8 +140,8 @@
 
     private void ended(String why, ListFailure failure) {
         boolean broke = !beginning && failure != ListFailure.UNUSABLE_ANSWER;
-        LOG.info(() -> "discovery: call " + number + (beginning ? ", to begin a watch," : " of a watch") + " of version " + version
-            + " failed after " + (long) (ticker.now() - calledAt) + " ms: " + why);
+        LOG.info(() -> "discovery: call " + number + (beginning ? ", to begin a watch," : " of a watch") + " of version "
+            + version + " failed after " + (long) (ticker.now() - calledAt) + " ms: " + why);
         watching = false;
         begins = true;
         core.listFailed(broke ? ListFailure.WATCH_BROKE : failure);
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -78,7 +78,8 @@
 
     /** Names it in the log: request and attempt by the core's numbers, and the node. */
     @Override public String toString() {
-        return "request " + request.facts().id() + " attempt " + number + " at " + member.entry().node() + (out ? " (out)" : "");
+        String state = out ? " (out)" : "";
+        return "request " + request.facts().id() + " attempt " + number + " at " + member.entry().node() + state;
     }
 
     /** Whether its answer has begun to be passed on. */
--- a/src/main/java/kelphollow/routing/RequestCounters.java
+++ b/src/main/java/kelphollow/routing/RequestCounters.java
@@ -72,7 +72,8 @@
     String summary() {
         String byAge = Arrays.stream(ListAge.values()).filter(age -> written[age.ordinal()] > 0)
             .map(age -> age + "=" + written[age.ordinal()]).collect(Collectors.joining(" "));
-        return "requests: taken=" + taken + " served=" + served + " clients gone=" + clientsGone + " overdue=" + overdue + " refused=" + refused
+        return "requests: taken=" + taken + " served=" + served + " clients gone=" + clientsGone + " overdue=" + overdue
+            + " refused=" + refused
             + " failed=" + failed + "; attempts: ended=" + attempts + " repeats=" + repeats + " not written=" + notWritten
             + " written by age of list: " + byAge;
     }
--- a/src/test/java/kelphollow/decision/ControlTest.java
+++ b/src/test/java/kelphollow/decision/ControlTest.java
@@ -122,7 +122,8 @@
         rig.pass(rig.now + 295);
         assertEquals(List.of(), rig.answered(), "it may still meet its aim");
         rig.pass(rig.now + 10);
-        assertTrue(rig.actions.contains(new Refuse("a", 1000, Reason.OVERLOAD)), "its node takes nothing: the longest advice");
+        Refuse longest = new Refuse("a", 1000, Reason.OVERLOAD);
+        assertTrue(rig.actions.contains(longest), "its node takes nothing: the longest advice");
     }
 
     /** Guards against a repeat taking the place of a first try: its aim counts from the first, long past. */
--- /dev/null
+++ b/src/test/java/kelphollow/program/RespClient.java
@@ -0,0 +1,63 @@
+package kelphollow.program;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A blocking client of the platform's protocol on one connection. */
+final class RespClient implements AutoCloseable {
+    private static final int GUARD_MILLIS = 20_000;   // only so that a failure ends
+    private final Socket socket;
+    private final InputStream in;
+
+    RespClient(InetSocketAddress to) throws IOException {
+        socket = new Socket();
+        socket.connect(to, GUARD_MILLIS);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(GUARD_MILLIS);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    /** The bytes of a request for one piece of data; {@code wait} in milliseconds. */
+    static String get(String id, String kind, int wait, int shard) {
+        String values = "c=" + kind + ",t=padrao,d=" + wait + ",volume=v" + shard + ",units=1,shard=" + shard + ",hosts=1";
+        return "*4\r\n$7\r\nOBJ.GET\r\n$1\r\np\r\n$" + id.length() + "\r\n" + id + "\r\n$" + values.length() + "\r\n"
+            + values + "\r\n";
+    }
+
+    void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The next line without its end. */
+    String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c; (c = in.read()) != '\n';) {
+            if (c < 0) {
+                throw new EOFException("ended after '" + line + "'");
+            }
+            if (c != '\r') {
+                line.write(c);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** The next answer: its first line, or the value of a bulk string, also of the first one of an array. */
+    String answer() throws IOException {
+        String head = line();
+        if (head.startsWith("*")) {
+            head = line();
+        }
+        return head.startsWith("$") && !head.equals("$-1") ? line() : head;
+    }
+
+    @Override public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/kelphollow/program/RestartOnOldListTest.java
@@ -0,0 +1,61 @@
+package kelphollow.program;
+
+import static kelphollow.program.ServeProcess.list;
+import static kelphollow.program.ServeProcess.row;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A process that is killed and started again has only the list of its file, which may be of any age: what changed while it
+ * was away may count as told before its first request. Guards against a restarted process that sends to nodes which are
+ * gone, because it takes clients before discovery has told it anything.
+ */
+@Timeout(120)
+class RestartOnOldListTest {
+    /** Of a hundred instances, so that the first call to discovery is spread widely. */
+    private static final int INSTANCES = 100;
+    /** A seed whose first call comes late in that time. */
+    private static final long LATE_SEED = 7;
+    @TempDir
+    Path folder;
+
+    private static String answer(String list) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list;
+    }
+
+    @Test void aRestartedProcessSendsNothingBeforeDiscoveryHasSpoken() throws Exception {
+        try (ScriptedPeer before = new ScriptedPeer(); ScriptedPeer discovery = new ScriptedPeer();
+             ScriptedPeer node = new ScriptedPeer(); ScriptedPeer other = new ScriptedPeer();
+             ServeProcess program = new ServeProcess(folder, "n0", ServeProcess.settings(INSTANCES))) {
+            List<String> rows = List.of(row("a", node.address(), 0, "ready", 0), row("b", other.address(), 1, "ready", 0));
+            program.configure(before.address(), list(1, true, rows), LATE_SEED);
+            program.start().awaitReady();
+            program.kill();                // and while it is away, node a leaves the list
+            program.configure(discovery.address(), list(1, true, rows), LATE_SEED);
+            program.start().awaitReady();
+            try (RespClient client = new RespClient(program.address())) {
+                client.send(RespClient.get("q1", "dump-read", 1_200, 0));
+                assertTrue(client.line().startsWith("-"), "nobody serves it");
+                assertNull(node.acceptIfAny(), "a node of which nothing is known any more was dialled");
+                ScriptedPeer.Line call = discovery.accept();
+                call.until("\r\n\r\n");
+                call.send(answer(list(2, false, List.of(row("a", node.address(), 0, "gone", 0)))));
+                client.send(RespClient.get("q2", "dump-read", 1_200, 1));
+                ScriptedPeer.Line attempt = other.accept();
+                attempt.until("hosts=1\r\n");
+                attempt.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+                assertEquals("ok", client.answer());
+                client.send(RespClient.get("q3", "dump-read", 1_200, 0));
+                assertTrue(client.line().startsWith("-"), "its node is gone");
+                assertNull(node.acceptIfAny());
+            }
+        }
+    }
+}
