Ask a silent agent again after a short pause however long its service is away

Cause: what an agent gets at the return of its service counts as told at once; pauses between calls doubled to 1 s, so a return within one was heard up to 0.7 s after the grace. Found by reading the path of a watch for the class of the incident.

--- a/src/main/java/kelphollow/program/Main.java
+++ b/src/main/java/kelphollow/program/Main.java
@@ -17,6 +17,7 @@
     }
 
     static final int USAGE = 2;
+    private static final String LOG_MANAGER = "java.util.logging.manager";
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({
@@ -38,6 +39,9 @@
         if (System.getProperty("java.util.logging.SimpleFormatter.format") == null) {
             System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         }
+        if (System.getProperty(LOG_MANAGER) == null) {
+            System.setProperty(LOG_MANAGER, LastingLogManager.class.getName());
+        }
         System.exit(run(List.of(args), System.out, System.err));
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -37,6 +37,7 @@
         long end = System.nanoTime() + LONGEST_NANOS;
         Loopless world = new Loopless();
         Core core = new Core(new Control(settings, seed, world.now()), world, world);
+        core.mute();
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             members.add(new Member(new NodeEntry("n" + i, "", i, Phase.HEALTHY, 0), new InetSocketAddress(0)));
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -112,6 +112,11 @@
         return ticker.now();
     }
 
+    /** Logs nothing of its requests, as for a rehearsal before the start. */
+    public void mute() {
+        log.mute();
+    }
+
     /** What became of requests and attempts since the start, as one line. */
     public String counters() {
         return log.summary();
--- a/src/main/java/kelphollow/routing/ListBudget.java
+++ b/src/main/java/kelphollow/routing/ListBudget.java
@@ -25,9 +25,12 @@
     /** What this program adds by being late itself; 25 ms were measured, 9 in 10 calls, of a process at half a core. */
     public static final double OWN_LATENESS = 150;
 
-    // An agent serves this scheduler alone, so its pauses need no jitter: they double from the first to the last.
-    static final double FIRST_PAUSE = 100;
-    static final double LONGEST_PAUSE = 1_000;
+    /**
+     * The pause after a failed call to an agent, which serves this scheduler alone. While its service is down an agent is
+     * silent, and what it gets at the return counts at once: a pause must be shorter than the grace for drains, however long
+     * the service was away.
+     */
+    static final double AGENT_PAUSE = 100;
 
     private ListBudget() {}
 
@@ -38,6 +41,6 @@
      */
     public static double longest(boolean pushed) {
         double longestCall = Math.max(WAIT + PATIENCE, TURN_PATIENCE);
-        return longestCall + (pushed ? LONGEST_PAUSE : ListPace.LONGEST_PAUSE) + TURN + OWN_LATENESS;
+        return longestCall + (pushed ? AGENT_PAUSE : ListPace.LONGEST_PAUSE) + TURN + OWN_LATENESS;
     }
 }
--- a/src/main/java/kelphollow/routing/ListWatch.java
+++ b/src/main/java/kelphollow/routing/ListWatch.java
@@ -14,7 +14,6 @@
     private final Ticker ticker;
     private Directory directory = () -> {};
     private boolean pushed;
-    private double pause = ListBudget.FIRST_PAUSE;
     private Ticker.Timeout renewal;
     private final double startedAt;
     private boolean heard;
@@ -30,7 +29,6 @@
         directory.stop();
         directory = next;
         pushed = isPushed;
-        pause = ListBudget.FIRST_PAUSE;
     }
 
     /** Begins the watch, unless it goes on. */
@@ -38,21 +36,19 @@
         directory.watch();
     }
 
-    /** A list has come: the next failure is a first one. */
+    /** A list has come. */
     void heard() {
         if (!heard) {
             heard = true;
             LOG.info(() -> "node list: first heard " + (long) (ticker.now() - startedAt) + " ms after the start");
         }
-        pause = ListBudget.FIRST_PAUSE;
     }
 
     /** The watch has ended. Returns whether the module must say when it begins again. */
     boolean failed() {
         if (pushed) {
             cancel();
-            renewal = ticker.after(pause, directory::watch);
-            pause = Math.min(ListBudget.LONGEST_PAUSE, 2 * pause);
+            renewal = ticker.after(ListBudget.AGENT_PAUSE, directory::watch);
         }
         return !pushed;
     }
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -20,6 +20,7 @@
     private final Ticker ticker;
     private final Collection<Request> open;
     private final ListLease lease;
+    private boolean muted;
     private final RequestCounters counters = new RequestCounters();
     private final BoundedLog withheld = new BoundedLog(LOG);
     private final BoundedLog unconfirmed = new BoundedLog(LOG);
@@ -32,8 +33,16 @@
         this.lease = lease;
     }
 
+    /** From now on nothing is logged, as for a rehearsal. */
+    void mute() {
+        muted = true;
+    }
+
     /** Starts the lines that come by time; they end with the loop. */
     void start() {
+        if (muted) {
+            return;
+        }
         countLater(counters.summary());
         lookForOverdue();
     }
@@ -97,6 +106,9 @@
 
     /** An attempt's connection is up, and this became of the question whether it may be written. */
     void looked(Attempt attempt, WriteVerdict verdict) {
+        if (muted) {
+            return;
+        }
         double now = ticker.now();
         if (verdict != WriteVerdict.ALLOWED) {
             counters.notWritten(verdict);
