Wait for an agent's first word at a start, and judge a soak by what instances last had

Cause: a process started while lists are pushed used its file's list at once; what its agent has counts from the first moment of a process, and an agent that is silent cannot tell it. Change: such a start waits for the agent's word, a refused connection, or two silent calls.

--- a/src/main/java/kelphollow/decision/ListLease.java
+++ b/src/main/java/kelphollow/decision/ListLease.java
@@ -63,13 +63,11 @@
     }
 
     /**
-     * For a list that an agent on the same machine is sent and gives out at once. It is silent only while the
-     * service is down, so the list that an instance starts with may be used until the agent speaks.
+     * For a list that an agent on the same machine is sent and gives out at once. It is silent only while
+     * the service is down; a refused connection shows at once that there is none.
      */
-    public static ListLease pushed(double toldAfter, double ownLateness, double now) {
-        ListLease lease = new ListLease(toldAfter, ownLateness, true);
-        lease.downAt = now;
-        return lease;
+    public static ListLease pushed(double toldAfter, double ownLateness) {
+        return new ListLease(toldAfter, ownLateness, true);
     }
 
     /**
@@ -96,7 +94,8 @@
             return;
         }
         signs++;
-        if (heardUpTo > NEVER || pushed || signs >= SIGNS_AT_START) {
+        int needed = pushed && failure == ListFailure.NO_ANSWER ? 1 : SIGNS_AT_START;
+        if (heardUpTo > NEVER || signs >= needed) {
             downAt = Math.max(downAt, calledAt);
         }
     }
--- a/src/main/java/kelphollow/lab/soak/Soak.java
+++ b/src/main/java/kelphollow/lab/soak/Soak.java
@@ -47,7 +47,11 @@
 
     private Soak(Plan plan, Path folder, PrintStream out) throws IOException {
         this.plan = plan;
-        this.folder = Files.createDirectories(folder);
+        this.folder = folder;
+        if (Files.exists(folder)) {
+            throw new IOException(folder + " is there already");
+        }
+        Files.createDirectories(folder);
         this.out = out;
         this.random = new Random(plan.seed() ^ 0x5eedL);
         this.discovery = new SoakDiscovery(history, new Random(plan.seed() + 1));
@@ -73,7 +77,7 @@
         discovery.change(nodes.stream().map(n -> row(n, "ready", 0)).toList());
         for (int i = 0; i < plan.instances(); i++) {
             instances.add(new ServeProcess(folder, i, ServeProcess.settings(plan.instances(), plan.pushed()), history));
-            configure(i, discovery.list());
+            configure(i);
             instances.get(i).start();
         }
         for (ServeProcess instance : instances) {
@@ -98,8 +102,9 @@
         }
         ended.set(true);
         lookThroughLogs();
-        report();
-        return SoakChecker.judge(history, SLACK + latest);
+        SoakHistory whole = history.snapshot();
+        report(whole);
+        return SoakChecker.judge(whole, SLACK + latest);
     }
 
     private List<SoakFaults.Step> draw() {
@@ -140,8 +145,9 @@
         return new Row(node.name, node.address(), node.block, health, born);
     }
 
-    private void configure(int instance, String known) throws IOException {
-        instances.get(instance).configure(discovery.addressFor(instance), known, random.nextLong() & Long.MAX_VALUE);
+    private void configure(int instance) throws IOException {
+        instances.get(instance).configure(discovery.addressFor(instance), discovery.lastHad(instance),
+            random.nextLong() & Long.MAX_VALUE);
     }
 
     // ---------------------------------------------------------------- faults
@@ -191,31 +197,29 @@
     private void kill(int target, double away) throws Exception {
         ServeProcess instance = instances.get(target);
         if (instance.isServing()) {
-            String known = discovery.list();
             instance.kill();
-            later(away, () -> restart(target, known));
+            later(away, () -> restart(target));
         }
     }
 
-    private void restart(int target, String known) throws Exception {
-        configure(target, known);
+    private void restart(int target) throws Exception {
+        configure(target);
         instances.get(target).start();
     }
 
     private void term(int target) throws Exception {
         ServeProcess instance = instances.get(target);
         if (instance.isServing()) {
-            String known = discovery.list();
             instance.term();
-            later(50, () -> startOnceEnded(target, known));
+            later(50, () -> startOnceEnded(target));
         }
     }
 
-    private void startOnceEnded(int target, String known) throws Exception {
+    private void startOnceEnded(int target) throws Exception {
         if (instances.get(target).hasEnded()) {
-            restart(target, known);
+            restart(target);
         } else {
-            later(50, () -> startOnceEnded(target, known));
+            later(50, () -> startOnceEnded(target));
         }
     }
 
@@ -231,7 +235,7 @@
     private void move(int target) throws Exception {
         ServeProcess instance = instances.get(target);
         if (instance.isServing()) {
-            configure(target, discovery.list());
+            configure(target);
             instance.signal("HUP");
             history.add(new SoakHistory.Moved(history.now(), target));
         }
@@ -275,10 +279,10 @@
         }
     }
 
-    private void report() {
-        long served = history.ends.stream().filter(e -> e.end() == SoakHistory.End.SERVED).count();
+    private void report(SoakHistory whole) {
+        long served = whole.ends.stream().filter(e -> e.end() == SoakHistory.End.SERVED).count();
         out.printf("%d requests, %d served, %d attempts, %d versions, %d lives, threads late by %.0f ms at most%n",
-            history.asked.size(), served, history.arrivals.size(), history.changes.size(), history.lives.size(), latest);
+            whole.asked.size(), served, whole.arrivals.size(), whole.changes.size(), whole.lives.size(), latest);
         if (latest > MOST_LATE) {
             out.println("the machine was too slow for a judgement of times");
         }
--- a/src/main/java/kelphollow/lab/soak/SoakDiscovery.java
+++ b/src/main/java/kelphollow/lab/soak/SoakDiscovery.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +51,9 @@
     private final Set<Integer> cutting = ConcurrentHashMap.newKeySet();
     private final Map<Integer, Set<Socket>> silenced = new ConcurrentHashMap<>();
     private final Map<Integer, Set<Socket>> callsOf = new ConcurrentHashMap<>();
+    /** The whole list of each version, and the newest version that was written to each instance. */
+    private final Map<Long, String> lists = new HashMap<>();
+    private final Map<Integer, Long> lastTold = new HashMap<>();
     private long version;
     private boolean down;
     private double downFrom;
@@ -86,11 +90,16 @@
             changedIn.put(row.host(), version);
             history.add(new SoakHistory.Change(history.now(), version, row.host(), row.health().equals("ready")));
         }
+        lists.put(version, list());
         notifyAll();
     }
 
-    /** The whole list as it is now. */
-    synchronized String list() {
+    /** The whole list as this instance last had it: the first one, or what was last written to it. */
+    synchronized String lastHad(int instance) {
+        return lists.get(lastTold.getOrDefault(instance, 1L));
+    }
+
+    private String list() {
         return list(version, true, rows.values().stream().filter(r -> !r.health().equals("gone")).toList());
     }
 
@@ -214,6 +223,9 @@
                 + list.substring(0, list.length() / 2)).getBytes(StandardCharsets.US_ASCII));
             return false;
         }
+        synchronized (this) {
+            lastTold.merge(instance, upTo, Math::max);
+        }
         history.add(new SoakHistory.Told(history.now(), instance, upTo));
         write(socket, "200 OK", list);
         return true;
--- a/src/main/java/kelphollow/lab/soak/SoakHistory.java
+++ b/src/main/java/kelphollow/lab/soak/SoakHistory.java
@@ -54,6 +54,23 @@
         return (System.nanoTime() - began) / 1e6;
     }
 
+    /** The history up to now; what comes later is not in it. */
+    synchronized SoakHistory snapshot() {
+        SoakHistory copy = new SoakHistory();
+        copy.changes.addAll(changes);
+        copy.told.addAll(told);
+        copy.outages.addAll(outages);
+        copy.silences.addAll(silences);
+        copy.moves.addAll(moves);
+        copy.lives.addAll(lives);
+        copy.arrivals.addAll(arrivals);
+        copy.asked.addAll(asked);
+        copy.ends.addAll(ends);
+        copy.faultLines.addAll(faultLines);
+        copy.pushed = pushed;
+        return copy;
+    }
+
     synchronized void add(Change event) {
         changes.add(event);
     }
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -101,7 +101,7 @@
                 new Pools.Limits(config.dialTimeout(), config.idleTime(), nodes(config.sockets())), RespBackend::codec);
             Core core = scheduler.core = new Core(
                 new Control(config.settings(), config.seed(), ticker.now()), ticker, new RespBackend(pools, ticker),
-                lease(config.settings(), ticker.now()));
+                lease(config.settings()));
             core.learn(config.known().members(), true, true);
             core.onFirstWord(scheduler.firstWord::countDown);
             scheduler.listAt = config.discovery();
@@ -114,9 +114,9 @@
     }
 
     /** On the platform the list binds by the terms of {@link ListBudget}. */
-    private static ListLease lease(Settings settings, double now) {
+    private static ListLease lease(Settings settings) {
         return settings.listMustBeAsked() ? ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS)
-            : ListLease.pushed(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS, now);
+            : ListLease.pushed(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS);
     }
 
     /** The gateway of the object API. Its store, if it has one, is opened here and not on the event loop. */
--- a/src/test/java/kelphollow/decision/ListLeaseTest.java
+++ b/src/test/java/kelphollow/decision/ListLeaseTest.java
@@ -29,12 +29,16 @@
         assertEquals(State.EXPIRED, asked.state(1_000 + TERM));
     }
 
-    @Test void theListOfAPushedStartMayBeUsedUntilTheAgentWouldHaveSpoken() {
-        ListLease pushed = ListLease.pushed(TOLD_AFTER, LATENESS, 500);
-        assertEquals(State.SERVICE_DOWN, pushed.state(500));
-        assertFalse(pushed.isValid(500 + TERM));
-        pushed.failed(ListFailure.SILENT, 3_000, 2_300);
-        assertTrue(pushed.isValid(3_000 + TERM - 1), "an agent is silent only while the service is down");
+    @Test void aPushedStartWaitsForItsAgentToSpeakOrToStaySilentTwice() {
+        ListLease pushed = ListLease.pushed(TOLD_AFTER, LATENESS);
+        assertFalse(pushed.isValid(500));
+        pushed.failed(ListFailure.SILENT, 500, 2_300);
+        assertFalse(pushed.isValid(2_800), "what the agent had before may have counted from the start");
+        pushed.failed(ListFailure.SILENT, 2_900, 2_300);
+        assertTrue(pushed.isValid(2_900 + TERM - 1), "an agent is silent only while the service is down");
+        ListLease alone = ListLease.pushed(TOLD_AFTER, LATENESS);
+        alone.failed(ListFailure.NO_ANSWER, 500, 1);
+        assertTrue(alone.isValid(501), "there is no agent");
     }
 
     @Test void aServiceThatIsThereDoesNotRenewItByFailing() {
