--- /dev/null
+++ b/src/test/java/kelphollow/lab/soak/FaultSoakTest.java
@@ -0,0 +1,47 @@
+package kelphollow.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Real processes under faults that overlap: a short run of each way in which lists come, both at the same time. Longer ones
+ * with many seeds are played by the command {@code soak}.
+ */
+@Timeout(120)
+class FaultSoakTest {
+    private static final int INSTANCES = 5, NODES = 6, SECONDS = 9;
+    @TempDir
+    Path folder;
+
+    private Void play(long seed, boolean pushed) throws Exception {
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        Soak.Plan plan = new Soak.Plan(seed, INSTANCES, NODES, SECONDS, pushed);
+        assertEquals(Soak.PASS, Soak.run(plan, folder.resolve("run-" + seed), new PrintStream(said)), said::toString);
+        return null;
+    }
+
+    @Test void noRuleIsBroken() throws Exception {
+        ExecutorService runs = Executors.newFixedThreadPool(2);
+        try {
+            List<Callable<Void>> both = List.of(() -> play(4, false), () -> play(3, true));
+            for (Future<Void> run : runs.invokeAll(both)) {
+                run.get();
+            }
+        } finally {
+            runs.shutdownNow();
+        }
+        assertEquals(0, ProcessHandle.current().descendants().filter(p -> p.info().commandLine().orElse("")
+            .contains(folder.toString())).count(), "a process is left");
+    }
+}
