Check each send of the module at run time against the one gate for sending

Change: SendGate judges a decision at the time of the decision, and the first byte at its own; a breach is a broken invariant (assertion, count, log line).

--- a/src/main/java/kelphollow/lab/Instances.java
+++ b/src/main/java/kelphollow/lab/Instances.java
@@ -4,26 +4,20 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import kelphollow.protocol.json.Json;
@@ -71,12 +65,12 @@
         this.history = history;
         this.standIns = standIns;
         this.random = new Random(seed);
-        Set<Integer> taken = new HashSet<>();
+        Ports ports = new Ports();
         for (int i = 0; i < scenario.instances(); i++) {
             Instance instance = new Instance("i" + i, Files.createDirectories(folder.resolve("i" + i)));
-            instance.clients = free(taken);
-            instance.mgmt = free(taken);
-            instance.line = free(taken);
+            instance.clients = ports.free();
+            instance.mgmt = ports.free();
+            instance.line = ports.free();
             all.put(instance.name, instance);
         }
         Files.writeString(folder.resolve("key"), "the key of one run " + Long.toHexString(random.nextLong()));
@@ -93,25 +87,6 @@
         }
     }
 
-    /**
-     * A port under those that systems give to connections by themselves (from 32,768 on): an instance keeps its ports
-     * while it is down, and no connection may take one meanwhile.
-     */
-    private static int free(Set<Integer> taken) throws IOException {
-        InetAddress here = InetAddress.getByName("127.0.0.1");
-        for (int tries = 0; tries < 1_000; tries++) {
-            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
-            if (taken.add(port)) {
-                try (ServerSocket tcp = new ServerSocket(port, 1, here); DatagramSocket udp = new DatagramSocket(port, here)) {
-                    return port;
-                } catch (IOException e) {
-                    continue;              // somebody has it
-                }
-            }
-        }
-        throw new IOException("no free port");
-    }
-
     /** Half of what nodes bear is reserved to neither: who is worth more shows only beyond the reserve. */
     private Map<String, Object> grade(String name, double price) {
         return Map.of("name", name, "rate", 1_000, "reserve", 10, "proportion", 1, "value_factor", price,
--- a/src/main/java/kelphollow/lab/soak/ServeProcess.java
+++ b/src/main/java/kelphollow/lab/soak/ServeProcess.java
@@ -1,14 +1,13 @@
 package kelphollow.lab.soak;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import kelphollow.lab.Ports;
 
 /**
  * The program as a process of its own on the platform's protocol: {@code serve} with a file written here. It can be killed,
@@ -25,6 +24,8 @@
         + "\"effect\":\"side_effect\",\"worth\":2,\"late_share\":0.1},{\"name\":\"dump-export\",\"aim\":1500,"
         + "\"deadline\":5000,\"effect\":\"pure\",\"worth\":1,\"late_share\":0.3}]";
 
+    private static final Ports PORTS = new Ports();
+
     private final Path folder;
     private final String name;
     private final int instance;
@@ -50,9 +51,7 @@
         this.instance = instance;
         this.settings = settings;
         this.history = history;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            listen = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
-        }
+        this.listen = new InetSocketAddress("127.0.0.1", PORTS.free());
     }
 
     /** Settings of one of so many instances; {@code pushed}: lists come to an agent, else they are asked for. */
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -69,6 +69,11 @@
         return beganAt >= 0;
     }
 
+    /** Until when it is waited for at most. */
+    double giveUpAt() {
+        return giveUpAt;
+    }
+
     /** When a repeat must have begun to be written; 0: there is no such time. */
     double writeBy() {
         return writeBy;
--- a/src/main/java/kelphollow/routing/Core.java
+++ b/src/main/java/kelphollow/routing/Core.java
@@ -33,6 +33,8 @@
     private volatile boolean heard;
     private final ListWatch list;
     private boolean busy;
+    /** When the module was asked last. */
+    private double decidedAt;
     private long ids;
     private final StallDetector stalls;
     private final RequestLog log;
@@ -386,7 +388,8 @@
         try {
             Event event;
             while ((event = events.poll()) != null) {
-                carryOut(control.on(now(), event));
+                decidedAt = now();
+                carryOut(control.on(decidedAt, event));
             }
         } finally {
             busy = false;
@@ -433,7 +436,7 @@
             : request.facts().deadline();
         Attempt attempt = new Attempt(this, request, request.attempts.size(), member, now, giveUpAt, a.writeBy());
         log.sent(attempt);
-        gate.confirms(attempt);
+        gate.confirms(attempt, decidedAt);
         request.attempts.add(attempt);
         out.put(a.id() + '#' + attempt.number, attempt);
         attempt.timeout = ticker.after(giveUpAt - now, () -> giveUp(attempt, Outcome.TIMED_OUT));
--- a/src/main/java/kelphollow/routing/Invariant.java
+++ b/src/main/java/kelphollow/routing/Invariant.java
@@ -1,6 +1,7 @@
 package kelphollow.routing;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /** What must hold: asserted where assertions are on ({@code -ea}), counted and logged everywhere else. */
@@ -11,10 +12,15 @@
     private Invariant() {}
 
     public static boolean holds(boolean condition, String what) {
+        return holds(condition, () -> what);
+    }
+
+    /** The same; what must hold is put into words only if it does not. */
+    public static boolean holds(boolean condition, Supplier<String> what) {
         if (!condition) {
             long count = BROKEN.incrementAndGet();
-            LOG.severe(() -> "invariant broken (" + count + " so far): " + what);
-            assert false : what;
+            LOG.severe(() -> "invariant broken (" + count + " so far): " + what.get());
+            assert false : what.get();
         }
         return condition;
     }
--- a/src/main/java/kelphollow/routing/SendGate.java
+++ b/src/main/java/kelphollow/routing/SendGate.java
@@ -23,16 +23,19 @@
 
     /** Whether the attempt's first byte may be written now, and if not, why. */
     WriteVerdict verdict(Attempt attempt) {
+        return verdict(attempt, ticker.now());
+    }
+
+    private WriteVerdict verdict(Attempt attempt, double now) {
         if (!attempt.isOut()) {
             return WriteVerdict.ATTEMPT_ENDED;
         }
         if (attempt.request().over) {
             return WriteVerdict.REQUEST_OVER;
         }
-        if (attempt.remaining() <= 0) {
+        if (attempt.giveUpAt() <= now) {
             return WriteVerdict.TIME_OVER;
         }
-        double now = ticker.now();
         if (attempt.writeBy() > 0 && now >= attempt.writeBy()) {
             return WriteVerdict.WINDOW_OVER;
         }
@@ -42,11 +45,10 @@
         return lease.isValid(now) ? WriteVerdict.ALLOWED : WriteVerdict.LIST_EXPIRED;
     }
 
-    /** The module has decided to send: it must not have decided what may not be sent. Time may have passed since. */
-    boolean confirms(Attempt attempt) {
-        WriteVerdict verdict = verdict(attempt);
-        boolean holds = verdict == WriteVerdict.ALLOWED || verdict == WriteVerdict.TIME_OVER
-            || verdict == WriteVerdict.WINDOW_OVER;
-        return Invariant.holds(holds, "the module sends what may not be sent: " + attempt + ", " + verdict);
+    /** The module has decided at this time to send: it must not have decided what might not be sent then. */
+    boolean confirms(Attempt attempt, double decidedAt) {
+        WriteVerdict verdict = verdict(attempt, decidedAt);
+        boolean holds = verdict == WriteVerdict.ALLOWED;
+        return Invariant.holds(holds, () -> "the module sends what may not be sent: " + attempt + ", " + verdict);
     }
 }
--- a/src/test/java/kelphollow/routing/Harness.java
+++ b/src/test/java/kelphollow/routing/Harness.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlApi.*;
+import kelphollow.decision.ListLease;
 
 /** A core with the real module, a clock that the test moves, and a backend that only notes what it is given. */
 final class Harness {
@@ -21,7 +22,7 @@
 
     /** Wake-ups, run by {@link #pass} when due; the attempts' time-outs (over 1.5 s) are left out. */
     private final List<Timer> timers = new ArrayList<>();
-    private final Ticker ticker = new Ticker() {
+    final Ticker ticker = new Ticker() {
         @Override public double now() {
             return now;
         }
@@ -37,6 +38,14 @@
     final Core core;
 
     Harness(Plan plan) {
+        this(plan, ListLease.unbounded());
+    }
+
+    Harness(ListLease lease) {
+        this(new Plan("free", 10, 5, 1, 1, 0, 0, 0), lease);
+    }
+
+    private Harness(Plan plan, ListLease lease) {
         core = new Core(new Control(new Settings(0, 1, "", 1, 3, 100, true, false, 0, 2, 0.4, 0.05, List.of(READ, KEYED),
             List.of(plan), new Rules(250, 0.25, 10_000, 2, 1000, 6, 0, 0, 0, 0, 0)), 1, now), ticker, new Backend() {
                 @Override public void start(Attempt attempt) {
@@ -48,7 +57,7 @@
                 @Override public void retire(String node) {
                     retired.add(node);
                 }
-            });
+            }, lease);
     }
 
     Harness() {
--- /dev/null
+++ b/src/test/java/kelphollow/routing/SendGateTest.java
@@ -0,0 +1,84 @@
+package kelphollow.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import kelphollow.decision.ControlApi.ListFailure;
+import kelphollow.decision.ControlApi.Outcome;
+import kelphollow.decision.ControlApi.Phase;
+import kelphollow.decision.ListLease;
+import org.junit.jupiter.api.Test;
+
+/** Without a lease on the node list nothing is sent: not at a start, not after silence, not by a dial that comes up late. */
+class SendGateTest {
+    private static final double TERM = ListBudget.TOLD_AFTER - ListBudget.OWN_LATENESS;
+    private final ListLease lease = ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS);
+    private final Harness h = new Harness(lease);
+
+    private void heard(double asOf) {
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, asOf);
+    }
+
+    @Test void whatComesBeforeTheFirstWordLeavesWithIt() {
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, true);
+        h.ask("read", "free", "k");
+        h.pass(50);
+        assertEquals(List.of(), h.sentTo());
+        h.core.learn(List.of(Harness.node("a", Phase.DRAINING), Harness.node("b", Phase.HEALTHY)), false, h.now);
+        assertEquals(List.of("b"), h.sentTo(), "by the new list, not by the old one that is leased with it");
+    }
+
+    @Test void whatIsHeldIsRefusedInItsTimeWithAdvice() {
+        h.core.learn(List.of(Harness.node("a", Phase.HEALTHY)), true, true);
+        h.ask("read", "free", "k");
+        for (int i = 0; i < 40; i++) {
+            h.pass(10);
+        }
+        assertEquals(List.of("k"), h.refused);
+        assertEquals(List.of(), h.sentTo());
+    }
+
+    @Test void aLeaseThatEndsStopsFirstTriesRepeatsAndLateDials() {
+        heard(h.now - TERM + 100);         // it ends in 100 ms, well within the requests' time
+        h.ask("read", "free", "dialled");
+        h.ask("keyed", "free", "repeated");
+        Attempt dialled = h.sent.get(0), repeated = h.sent.get(1);
+        h.now += 99;
+        assertTrue(dialled.mayWrite());
+        h.core.listFailed(ListFailure.SILENT, h.now - 50);
+        h.now += 1;
+        assertFalse(dialled.mayWrite());
+        repeated.ended(Result.of(Outcome.NO_CONNECTION));
+        h.ask("read", "free", "new");
+        h.pass(100);
+        assertEquals(2, h.sent.size());
+    }
+
+    @Test void anUnreachableServiceRenewsItAndABrokenWatchDoesNot() {
+        heard(h.now);
+        h.now += TERM - 10;
+        h.core.listFailed(ListFailure.WATCH_BROKE, h.now);
+        h.now += 10;
+        h.ask("read", "free", "held");
+        assertEquals(0, h.sent.size());
+        h.core.listFailed(ListFailure.NO_ANSWER, h.now);
+        assertEquals(1, h.sent.size());
+    }
+
+    /** The check at run time finds a module that sends without a lease. */
+    @Test void aModuleThatSendsWithoutALeaseBreaksAnInvariant() {
+        heard(h.now);
+        h.ask("read", "free", "k");
+        Attempt attempt = h.sent.get(0);
+        SendGate gate = new SendGate(h.ticker, node -> true, lease);
+        assertTrue(gate.confirms(attempt, h.now));
+        assertTrue(gate.confirms(attempt, h.now + 1_999), "it was decided in time, however late it is now");
+        SendGate blind = new SendGate(h.ticker, node -> true, ListLease.asked(TERM, 0));
+        assertThrows(AssertionError.class, () -> blind.confirms(attempt, h.now));
+        SendGate drained = new SendGate(h.ticker, node -> false, lease);
+        assertThrows(AssertionError.class, () -> drained.confirms(attempt, h.now));
+    }
+}
