--- a/src/main/java/kelphollow/decision/ListLease.java
+++ b/src/main/java/kelphollow/decision/ListLease.java
@@ -34,10 +34,16 @@
     }
 
     /**
-     * So many calls in a row without an answer show an instance that has just started that the service is
-     * down. One is not enough: in a crowd a call may wait in vain for its turn.
+     * So many calls in a row without an answer, over at least the time that a crowd may last, show an
+     * instance that has just started that the service is down.
      */
     static final int SIGNS_AT_START = 2;
+    /**
+     * A crowd of all instances is over in this many times the time over which {@link ListPace} spreads them.
+     */
+    static final double CROWD_SPREADS = 2;
+    /** The longest time for which a crowd is reckoned with, in milliseconds. */
+    static final double LONGEST_CROWD = 30_000;
     /** After a move to another service its news counts after this time, in milliseconds. */
     static final double MOVED_TOLD_AFTER = 4_000;
 
@@ -46,20 +52,24 @@
     private final double term;
     private final double toldAfter;
     private final boolean pushed;
+    private final double crowdLasts;
     private double heardUpTo = NEVER;
     private double downAt = NEVER;
     private double notBefore = Double.POSITIVE_INFINITY;
     private int signs;
+    private double firstSignAt;
 
-    private ListLease(double toldAfter, double ownLateness, boolean pushed) {
+    private ListLease(double toldAfter, double ownLateness, boolean pushed, double crowdLasts) {
         this.toldAfter = toldAfter;
         this.term = toldAfter - ownLateness;
         this.pushed = pushed;
+        this.crowdLasts = crowdLasts;
     }
 
-    /** For a list that must be asked for: nothing may be sent before the service has spoken. */
-    public static ListLease asked(double toldAfter, double ownLateness) {
-        return new ListLease(toldAfter, ownLateness, false);
+    /** For a list that must be asked for by so many instances: nothing is sent before the service has spoken. */
+    public static ListLease asked(double toldAfter, double ownLateness, int instances) {
+        double crowd = Math.min(LONGEST_CROWD, CROWD_SPREADS * instances * ListPace.SPREAD_PER_INSTANCE);
+        return new ListLease(toldAfter, ownLateness, false, crowd);
     }
 
     /**
@@ -67,7 +77,7 @@
      * the service is down; a refused connection shows at once that there is none.
      */
     public static ListLease pushed(double toldAfter, double ownLateness) {
-        return new ListLease(toldAfter, ownLateness, true);
+        return new ListLease(toldAfter, ownLateness, true, 0);
     }
 
     /**
@@ -75,7 +85,7 @@
      * never ends.
      */
     public static ListLease unbounded() {
-        ListLease lease = new ListLease(0, 0, true);
+        ListLease lease = new ListLease(0, 0, true, 0);
         lease.heardUpTo = Double.POSITIVE_INFINITY;
         return lease;
     }
@@ -93,13 +103,20 @@
             signs = failure == ListFailure.WATCH_BROKE ? signs : 0;
             return;
         }
+        firstSignAt = signs == 0 ? calledAt : firstSignAt;
         signs++;
-        int needed = pushed && failure == ListFailure.NO_ANSWER ? 1 : SIGNS_AT_START;
-        if (heardUpTo > NEVER || signs >= needed) {
+        if (heardUpTo > NEVER || showsItAtStart(failure, calledAt + took)) {
             downAt = Math.max(downAt, calledAt);
         }
     }
 
+    private boolean showsItAtStart(ListFailure failure, double now) {
+        if (pushed && failure == ListFailure.NO_ANSWER) {
+            return true;
+        }
+        return signs >= SIGNS_AT_START && now - firstSignAt >= crowdLasts;
+    }
+
     /**
      * A call to begin a watch that was refused, reset, or turned away after it had waited; and silence, where
      * the list is pushed. Elsewhere silence is a broken watch, and a call that is turned away at once has met
--- a/src/main/java/kelphollow/decision/ListPace.java
+++ b/src/main/java/kelphollow/decision/ListPace.java
@@ -21,7 +21,7 @@
     /** The shortest pause, as a share of the longest one. */
     static final double SHORTEST_SHARE = 0.3;
     /** What each instance of the fleet adds to the time over which the first calls are spread. */
-    static final double SPREAD_PER_INSTANCE = 40;
+    static final double SPREAD_PER_INSTANCE = 60;
     /** The part of the time for which an instance need not ask that its first call may use up. */
     static final double FIRST_CALL_SHARE = 0.6;
     /** A call that was turned away sooner than this has not waited its turn: the queue was full. */
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -115,7 +115,7 @@
 
     /** On the platform the list binds by the terms of {@link ListBudget}. */
     private static ListLease lease(Settings settings) {
-        return settings.listMustBeAsked() ? ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS)
+        return settings.listMustBeAsked() ? ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS, settings.hosts())
             : ListLease.pushed(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS);
     }
 
--- a/src/test/java/kelphollow/decision/ListLeaseTest.java
+++ b/src/test/java/kelphollow/decision/ListLeaseTest.java
@@ -18,7 +18,7 @@
     private static final List<ListFailure> LOST = List.of(ListFailure.WATCH_BROKE, ListFailure.SILENT,
         ListFailure.UNUSABLE_ANSWER);
 
-    private final ListLease asked = ListLease.asked(TOLD_AFTER, LATENESS);
+    private final ListLease asked = ListLease.asked(TOLD_AFTER, LATENESS, 1);
 
     @Test void aListOfUnknownAgeMayNotBeUsedBeforeTheServiceHasSpoken() {
         assertEquals(State.NEVER_HEARD, asked.state(0));
@@ -71,6 +71,16 @@
         assertEquals(State.SERVICE_DOWN, asked.state(7_001));
     }
 
+    @Test void aStartInALargeFleetWaitsForAsLongAsACrowdMayLast() {
+        ListLease lease = ListLease.asked(TOLD_AFTER, LATENESS, 100);
+        for (double calledAt = 1_000; calledAt < 11_000; calledAt += 3_000) {
+            lease.failed(ListFailure.TURNED_AWAY, calledAt, TURN);
+            assertFalse(lease.isValid(calledAt + TURN), "called at " + calledAt);
+        }
+        lease.failed(ListFailure.TURNED_AWAY, 11_000, TURN);
+        assertTrue(lease.isValid(13_000), "12 s after the first of them: twice 60 ms for each instance");
+    }
+
     @Test void anotherServicesNewsCountsSooner() {
         asked.confirmed(10_000);
         asked.moved(11_000);
@@ -101,7 +111,7 @@
     @Test void noUnheardChangeCountsWhileItIsValid() {
         for (long seed = 0; seed < 2_000; seed++) {
             Random random = new Random(seed);
-            ListLease lease = ListLease.asked(TOLD_AFTER, LATENESS);
+            ListLease lease = ListLease.asked(TOLD_AFTER, LATENESS, 1);
             double now = 0, upSince = 0, downUntil = -1, heardAt = -1, unheardCounts = Double.POSITIVE_INFINITY;
             for (int call = 0; call < 40; call++) {
                 double calledAt = now;
--- a/src/test/java/kelphollow/routing/SendGateTest.java
+++ b/src/test/java/kelphollow/routing/SendGateTest.java
@@ -15,7 +15,7 @@
 /** Without a lease on the node list nothing is sent: not at a start, not after silence, not by a dial that comes up late. */
 class SendGateTest {
     private static final double TERM = ListBudget.TOLD_AFTER - ListBudget.OWN_LATENESS;
-    private final ListLease lease = ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS);
+    private final ListLease lease = ListLease.asked(ListBudget.TOLD_AFTER, ListBudget.OWN_LATENESS, 1);
     private final Harness h = new Harness(lease);
 
     private void heard(double asOf) {
@@ -76,7 +76,7 @@
         SendGate gate = new SendGate(h.ticker, node -> true, lease);
         assertTrue(gate.confirms(attempt, h.now));
         assertTrue(gate.confirms(attempt, h.now + 1_999), "it was decided in time, however late it is now");
-        SendGate blind = new SendGate(h.ticker, node -> true, ListLease.asked(TERM, 0));
+        SendGate blind = new SendGate(h.ticker, node -> true, ListLease.asked(TERM, 0, 1));
         assertThrows(AssertionError.class, () -> blind.confirms(attempt, h.now));
         SendGate drained = new SendGate(h.ticker, node -> false, lease);
         assertThrows(AssertionError.class, () -> drained.confirms(attempt, h.now));
