--- a/src/main/java/kelphollow/decision/ListLease.java
+++ b/src/main/java/kelphollow/decision/ListLease.java
@@ -66,7 +66,7 @@
         this.crowdLasts = crowdLasts;
     }
 
-    /** For a list that must be asked for by so many instances: nothing is sent before the service has spoken. */
+    /** For a list that so many instances must ask for: nothing is sent before the service has spoken. */
     public static ListLease asked(double toldAfter, double ownLateness, int instances) {
         double crowd = Math.min(LONGEST_CROWD, CROWD_SPREADS * instances * ListPace.SPREAD_PER_INSTANCE);
         return new ListLease(toldAfter, ownLateness, false, crowd);
