--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Bad clients that send part of a command and stay; see claim.txt. TROUBLE=0 runs it without them.
+set -uo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+if [ ! -d "$root/review/target/classes" ] || [ ! -f "$root/target/kelphollow.jar" ]; then
+  echo "not built: run the build of the deploy file and review/build.sh"
+  exit 2
+fi
+exec java -Xmx512m -XX:+UseSerialGC -cp "$root/review/target/classes" review.HalfCommands "$root" "$here" "${TROUBLE:-1}"
