--- a/review/src/review/PartTwice.java
+++ b/review/src/review/PartTwice.java
@@ -32,7 +32,7 @@
     private final Record record;
     private final Map<String, Integer> begun = new ConcurrentHashMap<>();
     private final Map<String, Integer> stored = new ConcurrentHashMap<>();
-    private final CountDownLatch working = new CountDownLatch(PARTS);
+    private final CountDownLatch working = new CountDownLatch(1);
 
     private PartTwice(Record record) {
         this.record = record;
@@ -162,9 +162,10 @@
             clients.add(Threads.start("part " + part, () -> send(port, object, id.group(1), number, until)));
         }
         if (stopped != null) {
-            if (!working.await(2, TimeUnit.SECONDS)) {
-                throw new IOException("the parts did not come to the node at once");
+            if (!working.await(5, TimeUnit.SECONDS)) {
+                throw new IOException("no part came to the node");
             }
+            Thread.sleep(WORK_MS / 5);
             signal("STOP", stopped);
             Thread.sleep(STILL_MS);
             signal("CONT", stopped);
@@ -192,7 +193,7 @@
             if (answer.status() == 200) {
                 return;
             }
-            Thread.sleep(advice == null ? 200 : Long.parseLong(advice) * 1_000);
+            Thread.sleep(advice == null ? 500 : Long.parseLong(advice) * 1_000);
         }
     }
 }
