--- a/review/src/review/Program.java
+++ b/review/src/review/Program.java
@@ -18,8 +18,6 @@
     private final Record record;
     private final Path folder;
     private Process process;
-    private Path temporary;
-    private boolean inheritsInput;
 
     /** {@code folder} holds the configuration, the log and TMPDIR. */
     Program(String name, Path folder, Record record) {
@@ -28,13 +26,6 @@
         this.record = record;
     }
 
-    /** Uses this folder as TMPDIR, shared with another process, and hands on descriptor 0 of this process. */
-    Program beside(Path sharedTemporary) {
-        temporary = sharedTemporary;
-        inheritsInput = true;
-        return this;
-    }
-
     static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
@@ -51,11 +42,7 @@
             .directory(root.toFile()).redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         builder.environment().putAll(environment);
-        Path own = temporary == null ? folder.resolve(name + ".tmp") : temporary;
-        builder.environment().put("TMPDIR", Files.createDirectories(own).toString());
-        if (inheritsInput) {
-            builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
-        }
+        builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve(name + ".tmp")).toString());
         process = builder.start();
         record.add("run: %s started, process %d, %s", name, process.pid(), arguments);
     }
--- a/review/src/review/Settings.java
+++ b/review/src/review/Settings.java
@@ -32,6 +32,17 @@
             + "\"workload\":\"stores\",\"zones\":[\"hall-a\",\"hall-b\"]}";
     }
 
+    /** The same settings with this deadline for report-ingest. */
+    static String withIngestDeadline(String settings, int deadline) {
+        return settings.replace("\"deadline\":3000.0", "\"deadline\":" + deadline + ".0");
+    }
+
+    /** The same settings without the last class, bulk-export, which has the longest deadline. */
+    static String withoutBulkExport(String settings) {
+        int last = settings.indexOf(",{\"aim\":1500.0");
+        return settings.substring(0, last) + settings.substring(settings.indexOf(']', last));
+    }
+
     static String platformFile(String name, int port, int discovery, String known, String settings) {
         return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":"
