--- a/review/src/review/EndAfterReload.java
+++ b/review/src/review/EndAfterReload.java
@@ -34,10 +34,13 @@
     private static final int KILL_DELAY_MS = 700;
     /** Every time limit is longer by this. */
     private static final int SLACK_MS = 50;
+    /** If the test's own process stands still for longer than this after SIGTERM, the machine is too slow for a verdict. */
+    private static final double MAX_PAUSE_MS = 150;
     /** A request sent within this before SIGKILL is not counted: it may not have reached the scheduler. */
     private static final double IN_TRANSIT_MS = 20;
 
     private final Record record;
+    private final Pauses pauses = new Pauses();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicInteger ids = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
@@ -101,13 +104,19 @@
                 record.say("could not run: nothing was served, or the settings were not taken");
                 return 2;
             }
+            double pausedBefore = pauses.total();
             end(scheduler);
+            double paused = pauses.total() - pausedBefore;
             for (Thread client : clients) {
                 client.join(3_000);
             }
             record.add("log of the scheduler:%n%s", scheduler.log());
             record.say("in all: served %d, refused %d, failed %d; lost at SIGKILL %d", served.get(), refused.get(),
                 failed.get(), lost.get());
+            if (paused > MAX_PAUSE_MS) {
+                record.say("could not run: this process stood still for %.0f ms after SIGTERM", paused);
+                return 2;
+            }
             return lost.get() > 0 ? 1 : 0;
         } finally {
             scheduler.close();
