--- a/review/src/review/EndAfterReload.java
+++ b/review/src/review/EndAfterReload.java
@@ -68,9 +68,9 @@
     }
 
     private int run(Path root, boolean trouble) throws Exception {
-        Path folder = Files.createTempDirectory("review");
-        Program scheduler = new Program("n0", folder, record);
-        try (Discovery discovery = new Discovery(record)) {
+        try (Temporary temporary = new Temporary(); Program scheduler = new Program("n0", temporary.path(), record);
+             Discovery discovery = new Discovery(record)) {
+            Path folder = temporary.path();
             List<String> entries = new ArrayList<>();
             for (int i = 0; i < NODES; i++) {
                 Node node = new Node("s-" + i, SLOTS, SERVICE_MS, record);
@@ -118,8 +118,6 @@
                 return 2;
             }
             return lost.get() > 0 ? 1 : 0;
-        } finally {
-            scheduler.close();
         }
     }
 
--- a/review/src/review/HalfCommands.java
+++ b/review/src/review/HalfCommands.java
@@ -60,9 +60,9 @@
     }
 
     private int run(Path root, boolean trouble) throws Exception {
-        Path folder = Files.createTempDirectory("review");
-        Program scheduler = new Program("n0", folder, record);
-        try (Discovery discovery = new Discovery(record)) {
+        try (Temporary temporary = new Temporary(); Program scheduler = new Program("n0", temporary.path(), record);
+             Discovery discovery = new Discovery(record)) {
+            Path folder = temporary.path();
             List<String> entries = new ArrayList<>();
             for (int i = 0; i < NODES; i++) {
                 Node node = new Node("s-" + i, SLOTS, SERVICE_MS, record);
@@ -106,8 +106,6 @@
                 scheduler.isAlive() ? "runs" : "has ended with " + scheduler.exitValue());
             record.add("log of the scheduler:%n%s", scheduler.log());
             return lost.get() > 0 || !scheduler.isAlive() ? 1 : 0;
-        } finally {
-            scheduler.close();
         }
     }
 
--- a/review/src/review/PartTwice.java
+++ b/review/src/review/PartTwice.java
@@ -41,11 +41,10 @@
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]).toAbsolutePath();
         boolean trouble = !arguments[2].equals("0");
-        Path folder = Files.createTempDirectory("review");
         int code = 2;
-        try (Record record = new Record(Path.of(arguments[1], "record.txt"))) {
+        try (Temporary temporary = new Temporary(); Record record = new Record(Path.of(arguments[1], "record.txt"))) {
             try {
-                code = new PartTwice(record).run(root, folder, trouble);
+                code = new PartTwice(record).run(root, temporary.path(), trouble);
             } catch (Exception e) {
                 record.say("could not run: %s", e);
             }
@@ -76,6 +75,7 @@
             gateway.awaitPort(port, 20_000);
             Thread.sleep(4_000);          // longer than the time for which the program holds back after a start
             upload(port, trouble ? nodes.get(0) : null);
+            record.add("log of the gateway:%n%s", gateway.log());
         } finally {
             gateway.close();
             for (Process node : nodes) {
