--- a/review/src/review/EndAfterReload.java
+++ b/review/src/review/EndAfterReload.java
@@ -16,9 +16,9 @@
 
 /**
  * A planned restart of one scheduler some seconds after new settings were read at SIGHUP, in which the class with the longest
- * deadline has vanished. Breaks if SIGKILL, which comes at the earliest time that the pages allow, finds requests unanswered that came more than 0.7 s after
- * SIGTERM. Without the disruption the scheduler has had these settings since its start, and all else is the same. Arguments:
- * project root, folder of the case, 1 or 0 for the disruption.
+ * deadline has vanished. Breaks if SIGKILL, which comes at the earliest time that the pages allow, finds requests unanswered
+ * that came more than 0.7 s after SIGTERM. Without the disruption the scheduler has had these settings since its start, and
+ * all else is the same. Arguments: project root, folder of the case, 1 or 0 for the disruption.
  */
 final class EndAfterReload {
     private static final int NODES = 10;
--- a/review/src/review/PartTwice.java
+++ b/review/src/review/PartTwice.java
@@ -62,6 +62,7 @@
                     "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "review.ObjectNode", "" + WORK_MS)
                     .redirectError(ProcessBuilder.Redirect.INHERIT).start();
                 nodes.add(node);
+                Runtime.getRuntime().addShutdownHook(new Thread(node::destroyForcibly));   // a stopped node doesn't end by itself
                 BufferedReader lines = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8));
                 ports[i] = Integer.parseInt(lines.readLine().split(" ")[1]);
                 int number = i;
--- a/review/src/review/Program.java
+++ b/review/src/review/Program.java
@@ -44,6 +44,8 @@
         builder.environment().putAll(environment);
         builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve(name + ".tmp")).toString());
         process = builder.start();
+        Process started = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));   // also when the test itself is ended
         record.add("run: %s started, process %d, %s", name, process.pid(), arguments);
     }
 
