--- a/review/src/review/PartTwice.java
+++ b/review/src/review/PartTwice.java
@@ -71,7 +71,7 @@
             }
             int port = Program.freePort();
             Path config = folder.resolve("objects.json");
-            Files.writeString(config, config(port, ports));
+            Files.writeString(config, Settings.objects(port, ports));
             gateway.start(root, "--config " + config, Map.of());
             gateway.awaitPort(port, 20_000);
             Thread.sleep(4_000);          // longer than the time for which the program holds back after a start
@@ -110,33 +110,6 @@
         }
     }
 
-    /** The program's own example with six shards, one a node. */
-    private static String config(int port, int[] ports) throws IOException {
-        StringBuilder endpoints = new StringBuilder();
-        for (int i = 0; i < ports.length; i++) {
-            endpoints.append(i == 0 ? "" : ",").append("{\"endpoint\":{\"address\":{\"socket_address\":{\"address\":\"127.0.0.1\","
-                + "\"port_value\":" + ports[i] + "}}},\"health_status\":\"HEALTHY\",\"metadata\":{\"filter_metadata\":{"
-                + "\"kelphollow\":{\"shard\":" + i + "}}}}");
-        }
-        return "{\"name\":\"gateway\",\"listen\":\"127.0.0.1:" + port + "\",\"buckets\":{\"crash-dumps\":{\"plan\":"
-            + "\"prioritario\",\"gateways\":1}},\"objects\":{\"shards\":" + ports.length + ",\"classes\":{\"read\":"
-            + "\"dump-read\",\"write\":\"dump-write\",\"large\":\"dump-export\"},\"bytes_per_unit\":1048576,\"most_units\":6,"
-            + "\"large_units\":4},\"xds\":{\"cluster\":\"dump-store\",\"clusters\":[{\"@type\":"
-            + "\"type.googleapis.com/envoy.config.cluster.v3.Cluster\",\"name\":\"dump-store\",\"type\":\"EDS\","
-            + "\"eds_cluster_config\":{\"service_name\":\"dump-store-endpoints\"}}],\"endpoints\":[{\"@type\":"
-            + "\"type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment\",\"cluster_name\":\"dump-store-endpoints\","
-            + "\"endpoints\":[{\"locality\":{\"zone\":\"hall-a\"},\"lb_endpoints\":[" + endpoints + "]}]}]},"
-            + "\"settings\":{\"me\":0,\"fleet_size\":1,\"my_zone\":\"hall-a\",\"tick\":2.0,\"discovery\":\"automatic\","
-            + "\"ceilings\":{\"cancel\":true,\"most_tries\":3,\"open_cap\":20000,\"retry_after\":true,\"max_retry_after\":1000.0},"
-            + "\"contract\":{\"drain_grace\":250.0,\"cold_share\":0.18,\"cold\":18000.0,\"tip_multiple\":2.0,\"fall\":1000.0},"
-            + "\"extra\":{\"unit_mean\":2.0,\"young_limit\":11.0,\"share_worth\":0.35,\"beyond_share\":0.05},"
-            + "\"grades\":[{\"name\":\"prioritario\",\"rate\":80.0,\"reserve\":64.0,\"proportion\":1.0,\"value_factor\":1.4}],"
-            + "\"request_classes\":[{\"name\":\"dump-read\",\"aim\":250.0,\"deadline\":1200.0,\"effect\":\"pure\",\"worth\":2.0,"
-            + "\"late_share\":0.2},{\"name\":\"dump-write\",\"aim\":500.0,\"deadline\":3000.0,\"effect\":\"side_effect\","
-            + "\"worth\":2.0,\"late_share\":0.1},{\"name\":\"dump-export\",\"aim\":1500.0,\"deadline\":5000.0,\"effect\":\"pure\","
-            + "\"worth\":1.0,\"late_share\":0.3}]}}";
-    }
-
     /** A name of an object in the first node's shard. */
     private static String objectOfFirstShard() {
         for (int i = 0;; i++) {
--- a/review/src/review/Settings.java
+++ b/review/src/review/Settings.java
@@ -32,20 +32,36 @@
             + "\"workload\":\"stores\",\"zones\":[\"hall-a\",\"hall-b\"]}";
     }
 
-    /** The same settings with this deadline for report-ingest. */
-    static String withIngestDeadline(String settings, int deadline) {
-        return settings.replace("\"deadline\":3000.0", "\"deadline\":" + deadline + ".0");
-    }
-
-    /** The same settings without the last class, bulk-export, which has the longest deadline. */
-    static String withoutBulkExport(String settings) {
-        int last = settings.indexOf(",{\"aim\":1500.0");
-        return settings.substring(0, last) + settings.substring(settings.indexOf(']', last));
-    }
-
     static String platformFile(String name, int port, int discovery, String known, String settings) {
         return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":"
             + known + ",\"settings\":" + settings + "}";
     }
+
+    /** The file of a gateway of the object API: the project's own example, with one shard for each of these nodes. */
+    static String objects(int port, int[] ports) {
+        StringBuilder endpoints = new StringBuilder();
+        for (int i = 0; i < ports.length; i++) {
+            endpoints.append(i == 0 ? "" : ",").append("{\"endpoint\":{\"address\":{\"socket_address\":{\"address\":\"127.0.0.1\","
+                + "\"port_value\":" + ports[i] + "}}},\"health_status\":\"HEALTHY\",\"metadata\":{\"filter_metadata\":{"
+                + "\"kelphollow\":{\"shard\":" + i + "}}}}");
+        }
+        return "{\"name\":\"gateway\",\"listen\":\"127.0.0.1:" + port + "\",\"buckets\":{\"crash-dumps\":{\"plan\":"
+            + "\"prioritario\",\"gateways\":1}},\"objects\":{\"shards\":" + ports.length + ",\"classes\":{\"read\":"
+            + "\"dump-read\",\"write\":\"dump-write\",\"large\":\"dump-export\"},\"bytes_per_unit\":1048576,\"most_units\":6,"
+            + "\"large_units\":4},\"xds\":{\"cluster\":\"dump-store\",\"clusters\":[{\"@type\":"
+            + "\"type.googleapis.com/envoy.config.cluster.v3.Cluster\",\"name\":\"dump-store\",\"type\":\"EDS\","
+            + "\"eds_cluster_config\":{\"service_name\":\"dump-store-endpoints\"}}],\"endpoints\":[{\"@type\":"
+            + "\"type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment\",\"cluster_name\":\"dump-store-endpoints\","
+            + "\"endpoints\":[{\"locality\":{\"zone\":\"hall-a\"},\"lb_endpoints\":[" + endpoints + "]}]}]},"
+            + "\"settings\":{\"me\":0,\"fleet_size\":1,\"my_zone\":\"hall-a\",\"tick\":2.0,\"discovery\":\"automatic\","
+            + "\"ceilings\":{\"cancel\":true,\"most_tries\":3,\"open_cap\":20000,\"retry_after\":true,\"max_retry_after\":1000.0},"
+            + "\"contract\":{\"drain_grace\":250.0,\"cold_share\":0.18,\"cold\":18000.0,\"tip_multiple\":2.0,\"fall\":1000.0},"
+            + "\"extra\":{\"unit_mean\":2.0,\"young_limit\":11.0,\"share_worth\":0.35,\"beyond_share\":0.05},"
+            + "\"grades\":[{\"name\":\"prioritario\",\"rate\":80.0,\"reserve\":64.0,\"proportion\":1.0,\"value_factor\":1.4}],"
+            + "\"request_classes\":[{\"name\":\"dump-read\",\"aim\":250.0,\"deadline\":1200.0,\"effect\":\"pure\",\"worth\":2.0,"
+            + "\"late_share\":0.2},{\"name\":\"dump-write\",\"aim\":500.0,\"deadline\":3000.0,\"effect\":\"side_effect\","
+            + "\"worth\":2.0,\"late_share\":0.1},{\"name\":\"dump-export\",\"aim\":1500.0,\"deadline\":5000.0,\"effect\":\"pure\","
+            + "\"worth\":1.0,\"late_share\":0.3}]}}";
+    }
 }
