Bound what clients hold with incomplete commands, on the heap, in one place

Cause: Netty's aggregators kept incomplete commands in slices of the receive buffers, and nothing counted them together. They used up the 20 MB of direct memory, and each read then slept in Bits.reserveMemory on the event loop. Evidence: 14 of 14 thread dumps in the stretch show that sleep; the old generation was at 12%, so collections are excluded. Change: ClientMemory bounds what the clients of a front hold to a quarter of the heap. Bulk strings are collected on the heap and counted; above the bound the longest incomplete command is evicted with an error. Complete commands have a bound of their own until their reply and get BUSY above it. Receive buffers are 16 KiB at most, since a codec keeps one for part of a line. It works because no allocation on the event loop depends any more on how many clients stop within a command.

--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -16,6 +16,7 @@
 import kelphollow.routing.EndpointUpdateBudget;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.ClientMemory;
 import kelphollow.transport.HttpCall;
 import kelphollow.transport.ConnectionPools;
 
@@ -58,7 +59,8 @@
         discovery = config.discovery();
         pushed = !settings.endpointsPolled();
         router.start(watch(router, config.known().version()), pushed);
-        front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()));
+        front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
+            ClientMemory.ofHeap());
         requestSettings = requestSettings(settings);
         setComponents(router, front);
     }
--- a/src/main/java/kelphollow/protocol/resp/ReplySlot.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplySlot.java
@@ -18,6 +18,8 @@
     private String id;
     /** Whether the request is included in the connection's number of open requests. */
     private boolean countedAsOpen;
+    /** Bytes of the command that are counted as held until the slot is finished. */
+    private int heldBytes;
     private RedisMessage reply;
     private StreamedValue value;
 
@@ -32,6 +34,20 @@
         id = openId;
     }
 
+    /** Counts the command's bytes as held until the slot is finished; returns false if they do not fit. */
+    boolean hold(int bytes) {
+        if (connection.memory().accept(bytes)) {
+            heldBytes = bytes;
+            return true;
+        }
+        return false;
+    }
+
+    private void releaseHeld() {
+        connection.memory().release(heldBytes);
+        heldBytes = 0;
+    }
+
     /** Submits the request to the router, which may reply before this returns. */
     void submit(RequestArrived arrival, RespCommand command) {
         countedAsOpen = true;
@@ -70,6 +86,7 @@
         }
         request = null;
         intake.release(id);
+        releaseHeld();
         connection.flushReplies();
     }
 
@@ -115,6 +132,7 @@
     /** Cancels the request and discards its value, because the client has disconnected. */
     void disconnected() {
         intake.release(id);
+        releaseHeld();
         if (request != null) {
             router.clientDisconnected(request);
             request = null;
--- a/src/main/java/kelphollow/protocol/resp/RespCodec.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCodec.java
@@ -2,11 +2,8 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.TooLongFrameException;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
-import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
@@ -16,6 +13,7 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import kelphollow.transport.LingeringClose;
 
 /** Netty's RESP codec with this protocol's size limits, and helpers to read and build its messages. */
 final class RespCodec {
@@ -28,30 +26,27 @@
 
     private RespCodec() {}
 
-    /** Returns the handlers for a client's connection. */
-    static ChannelHandler[] forClient() {
-        return handlers(new SizeGuard());
+    /** Returns the handlers for a client's connection, whose commands are counted in {@code memory}. */
+    static ChannelHandler[] forClient(CommandMemory memory) {
+        return new ChannelHandler[] {decoder(), new BulkStringCollector(memory), new RedisArrayAggregator(MAX_ELEMENTS, 1),
+            new RedisEncoder()};
     }
 
     /** Returns the handlers for one exchange on a connection to a node. */
     static ChannelHandler[] forNode() {
-        return handlers(new StreamedValueSplitter());
+        return new ChannelHandler[] {decoder(), new StreamedValueSplitter(), new RedisBulkStringAggregator(),
+            new RedisArrayAggregator(MAX_ELEMENTS, 1), new RedisEncoder()};
     }
 
-    private static ChannelHandler[] handlers(ChannelHandler longValueHandler) {
-        return new ChannelHandler[] {new RedisDecoder(MAX_LINE_BYTES, FixedRedisMessagePool.INSTANCE), longValueHandler,
-            new RedisBulkStringAggregator(), new RedisArrayAggregator(MAX_ELEMENTS, 1), new RedisEncoder()};
+    private static RedisDecoder decoder() {
+        return new RedisDecoder(MAX_LINE_BYTES, FixedRedisMessagePool.INSTANCE);
     }
 
-    /** Rejects a bulk string header above the protocol's limit; Netty's own limit is 512 MiB. */
-    private static final class SizeGuard extends ChannelInboundHandlerAdapter {
-        @Override public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            if (message instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > MAX_BUFFERED_BYTES) {
-                throw new TooLongFrameException("bulk string of " + header.bulkStringLength()
-                    + " bytes exceeds " + MAX_BUFFERED_BYTES);
-            }
-            context.fireChannelRead(message);
-        }
+    /** Discards the client's incomplete command and all of its further input. */
+    static void discardInput(ChannelPipeline pipeline) {
+        pipeline.addFirst(new LingeringClose.Discard());
+        pipeline.remove(BulkStringCollector.class);
+        pipeline.remove(RedisArrayAggregator.class);
     }
 
     /** Copies the bytes of a bulk string; null if it is null or another type. The caller keeps ownership of the message. */
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -17,7 +17,6 @@
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
-import kelphollow.transport.LingeringClose;
 
 /**
  * One client's connection. Sends replies in the order of the commands. Releases each decoded message once its command has
@@ -32,6 +31,11 @@
     private static final int MAX_PENDING_REPLIES = 4_096;
     private static final int MAX_ERROR_LENGTH = 200;
 
+    /** A decoded message and the bytes that it holds; null in place of one that was rejected for lack of memory. */
+    private record DecodedCommand(RedisMessage message, int bytes) {
+        private static final DecodedCommand REJECTED = new DecodedCommand(null, 0);
+    }
+
     private enum State {
         /** Commands are accepted. */
         SERVING,
@@ -49,8 +53,11 @@
     private final ConnectionActivity activity;
     private final ReadThrottle throttle;
     private final ArrayDeque<ReplySlot> slots = new ArrayDeque<>();
-    /** Messages that are decoded and not yet handled. */
-    private final ArrayDeque<RedisMessage> decoded = new ArrayDeque<>();
+    private final CommandMemory memory;
+    /** Commands that are decoded and not yet handled. */
+    private final ArrayDeque<DecodedCommand> decoded = new ArrayDeque<>();
+    /** Whether the input cannot be decoded any further. */
+    private boolean inputDiscarded;
     private State state = State.SERVING;
     /** Whether a loop task that handles decoded messages is scheduled or running; replies are flushed at its end. */
     private boolean handling;
@@ -66,6 +73,11 @@
         this.channel = channel;
         this.activity = new ConnectionActivity(ticker);
         this.throttle = new ReadThrottle(this, channel, ticker);
+        this.memory = new CommandMemory(front.memory(), () -> front.commandIncomplete(this));
+    }
+
+    CommandMemory memory() {
+        return memory;
     }
 
     /** Whether no command awaits its reply and the last reply has been written to the socket. */
@@ -90,7 +102,22 @@
     }
 
     @Override public void channelRead(ChannelHandlerContext context, Object message) {
-        decoded.add((RedisMessage) message);
+        if (inputDiscarded) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        int bytes = endIncomplete();
+        if (memory.accept(bytes)) {
+            decoded.add(new DecodedCommand((RedisMessage) message, bytes));
+        } else {
+            ReferenceCountUtil.release(message);
+            decoded.add(DecodedCommand.REJECTED);
+        }
+    }
+
+    private int endIncomplete() {
+        front.commandEnded(this);
+        return memory.endIncomplete();
     }
 
     /**
@@ -110,25 +137,31 @@
     }
 
     private void handleDecoded() {
-        for (RedisMessage message; (message = decoded.poll()) != null;) {
+        for (DecodedCommand command; (command = decoded.poll()) != null;) {
+            memory.release(command.bytes());        // a slot that needs them counts them again
             try {
                 if (state == State.SERVING && channel.isActive()) {
-                    handle(message);
+                    handle(command);
                 }
             } finally {
-                ReferenceCountUtil.release(message);
+                ReferenceCountUtil.release(command.message());
             }
         }
         handling = false;
         flushReplies();
     }
 
-    private void handle(RedisMessage message) {
+    private void handle(DecodedCommand command) {
         ReplySlot slot = addSlot();
+        RedisMessage message = command.message();
         if (slots.size() > MAX_PENDING_REPLIES) {
             failConnection(slot, "ERR too many commands at once");
             return;
         }
+        if (command == DecodedCommand.REJECTED) {
+            slot.rejected(0, false);
+            return;
+        }
         String name = message instanceof ArrayRedisMessage array && !array.isNull() && !array.children().isEmpty()
             ? RespCodec.text(array.children().get(0)) : null;
         if (name == null) {
@@ -139,7 +172,7 @@
         switch (name.toUpperCase(Locale.ROOT)) {
             case "PING" -> slot.reply(new SimpleStringRedisMessage("PONG"));
             case "CLIENT", "SELECT" -> slot.reply(new SimpleStringRedisMessage("OK"));
-            case RespWireNames.GET, RespWireNames.PUT -> submit(slot, (ArrayRedisMessage) message);
+            case RespWireNames.GET, RespWireNames.PUT -> submit(slot, (ArrayRedisMessage) message, command.bytes());
             default -> invalid(slot, "unknown command");
         }
     }
@@ -150,7 +183,7 @@
         return slot;
     }
 
-    private void submit(ReplySlot slot, ArrayRedisMessage message) {
+    private void submit(ReplySlot slot, ArrayRedisMessage message, int bytes) {
         RespCommand command;
         RequestArrived arrival;
         try {
@@ -161,7 +194,7 @@
             return;
         }
         slot.reserve(command.idText());
-        if (openRequests >= MAX_OPEN_REQUESTS) {
+        if (openRequests >= MAX_OPEN_REQUESTS || !slot.hold(bytes)) {
             slot.rejected(0, false);
         } else {
             slot.submit(arrival, command);
@@ -180,10 +213,31 @@
     /** Replies with an error after which no input can be parsed. Earlier commands still get their replies, in order. */
     private void failConnection(ReplySlot slot, String error) {
         state = State.CLOSING;
-        channel.pipeline().addFirst(new LingeringClose.Discard());
+        discardInput();
         slot.reply(new ErrorRedisMessage(error));
     }
 
+    private void discardInput() {
+        if (!inputDiscarded) {
+            inputDiscarded = true;
+            RespCodec.discardInput(channel.pipeline());
+            endIncomplete();
+        }
+    }
+
+    /** Discards the incomplete command, to make room for those of others; earlier commands still get their replies. */
+    void evictIncomplete() {
+        discardInput();
+        channel.eventLoop().execute(() -> failInput("ERR too many incomplete commands"));
+    }
+
+    private void failInput(String error) {
+        if (state == State.SERVING && channel.isActive()) {
+            handleDecoded();               // commands received before the input that failed
+            failConnection(addSlot(), error);
+        }
+    }
+
     /** Closes the connection once the written replies are sent; commands that arrive meanwhile are not forwarded. */
     void close() {
         if (state != State.CLOSED) {
@@ -239,9 +293,11 @@
 
     @Override public void channelInactive(ChannelHandlerContext context) {
         markClosed();
-        for (RedisMessage message; (message = decoded.poll()) != null;) {
-            ReferenceCountUtil.release(message);
+        for (DecodedCommand command; (command = decoded.poll()) != null;) {
+            memory.release(command.bytes());
+            ReferenceCountUtil.release(command.message());
         }
+        endIncomplete();
         slots.forEach(ReplySlot::disconnected);
         slots.clear();
         front.checkShutdown();
@@ -252,8 +308,7 @@
             context.close();
         } else if (state == State.SERVING) {
             LOG.log(Level.FINE, "malformed RESP input from client", cause);
-            handleDecoded();               // commands received before the malformed input
-            failConnection(addSlot(), "ERR Protocol error");
+            failInput("ERR Protocol error");
         }
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -8,6 +8,7 @@
 import kelphollow.decision.ControlSettings.RequestClass;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.ClientMemory;
 import kelphollow.transport.Front;
 import kelphollow.transport.LingeringClose;
 
@@ -29,6 +30,9 @@
     private final RequestIntake intake;
     /** In the order of their last activity, least recent first. */
     private final Set<RespConnection> connections = new LinkedHashSet<>();
+    private final CommandMemory.Bounds memory;
+    /** Connections with an incomplete command, the one whose command has been incomplete longest first. */
+    private final Set<RespConnection> incomplete = new LinkedHashSet<>();
     private final LingeringClose lingering;
     private Runnable whenShutDown;
 
@@ -36,13 +40,16 @@
      * Creates a front.
      *
      * @param maxConnections how many connections may be open, not counting those in a lingering close
+     * @param memory what the commands of all connections may hold
      */
-    public RespFront(RequestRouter router, Ticker ticker, ControlSettings settings, int maxConnections) {
+    public RespFront(RequestRouter router, Ticker ticker, ControlSettings settings, int maxConnections,
+        ClientMemory memory) {
         this.router = router;
         this.ticker = ticker;
         this.maxConnections = maxConnections;
         this.lingering = new LingeringClose(ticker, LINGER_OVERALL_TIMEOUT_MS, LINGER_CLIENT_TIMEOUT_MS,
             maxConnections / CONNECTIONS_PER_LINGERING);
+        this.memory = CommandMemory.Bounds.of(memory);
         this.intake = new RequestIntake(settings);
         scheduleSweep();
     }
@@ -57,8 +64,8 @@
     }
 
     @Override public void accept(Channel channel) {
-        channel.pipeline().addLast(RespCodec.forClient());
         RespConnection connection = new RespConnection(this, router, intake, ticker, channel);
+        channel.pipeline().addLast(RespCodec.forClient(connection.memory()));
         connections.add(connection);
         channel.pipeline().addLast(connection);
     }
@@ -120,6 +127,23 @@
         connections.remove(connection);
     }
 
+    CommandMemory.Bounds memory() {
+        return memory;
+    }
+
+    /** The connection's incomplete command holds more bytes; the longest incomplete ones are evicted until all fit. */
+    void commandIncomplete(RespConnection connection) {
+        incomplete.add(connection);
+        while (memory.incomplete().isExceeded()) {
+            incomplete.iterator().next().evictIncomplete();
+        }
+    }
+
+    /** The connection has no incomplete command any more. */
+    void commandEnded(RespConnection connection) {
+        incomplete.remove(connection);
+    }
+
     void lingeringClose(Channel channel) {
         lingering.begin(channel);
     }
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -19,6 +19,7 @@
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.ResolvedEndpoint;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.ClientMemory;
 
 /**
  * Runs requests through a separate router without sockets before the real one listens, so that the first clients do not
@@ -42,7 +43,7 @@
         router.restoreEndpoints(endpoints());
         router.start(() -> {}, false);
         EmbeddedChannel client = new EmbeddedChannel();
-        new RespFront(router, environment, settings, 1).accept(client);
+        new RespFront(router, environment, settings, 1, ClientMemory.ofHeap()).accept(client);
         int served = 0;
         for (int i = 0; i < REQUESTS && System.nanoTime() < end; i++) {
             client.writeInbound(command(i, settings));
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -17,9 +17,15 @@
 public final class Server {
     /** One arena for the one event loop, in chunks of 256 KiB: Netty's default sizes do not suit a small machine. */
     static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, 0, 1, 8192, 5, 0, 0, false);
+    private static final int MIN_RECEIVE_BUFFER_BYTES = 64;
+    private static final int INITIAL_RECEIVE_BUFFER_BYTES = 2 * 1024;
+    /** A codec keeps a receive buffer while it holds part of a line, on every connection if clients stop there. */
+    private static final int MAX_RECEIVE_BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_READS_AT_ONCE = 16;
     /** Reads until no input is left, so that a client's disconnect right after its request is detected with the request. */
-    private static final RecvByteBufAllocator READ_ALL =
-        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(16);
+    private static final RecvByteBufAllocator READ_ALL = new AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BUFFER_BYTES,
+        INITIAL_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES).respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_AT_ONCE);
     /** Connections that the kernel queues before they are accepted. */
     private static final int BACKLOG = 512;
 
--- /dev/null
+++ b/src/test/java/kelphollow/program/ClientMemoryTest.java
@@ -0,0 +1,139 @@
+package kelphollow.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Clients that fill the memory of a process that has as little of it as the deploy file gives. Guards against an event loop
+ * that waits for memory, during which no other client is answered.
+ */
+@Timeout(60)
+class ClientMemoryTest {
+    private static final Pattern SERVES_AT = Pattern.compile("serves at 127\\.0\\.0\\.1:(\\d+)");
+    private static final String PING = "*1\r\n$4\r\nPING\r\n";
+    private static final int CLIENTS = 250;
+    private static final int BODY_BYTES = 64 * 1024;
+    private static final int MISSING_BYTES = 500;
+    private static final int COMMANDS_AT_ONCE = 40;
+    private static final int FLOODING_CLIENTS = 60;
+    private static final int WATCHED_MS = 6_000;
+    /** Half a second after its time a request without an answer is lost. */
+    private static final double LOST_AFTER_MS = 500;
+
+    @TempDir
+    Path folder;
+
+    /** A command whose body has the greatest length that the protocol allows. */
+    private static String put(String id) {
+        String values = "c=dump-write,t=padrao,d=3000,volume=v,units=1,shard=0,hosts=1";
+        return "*5\r\n$7\r\nOBJ.PUT\r\n$1\r\np\r\n$" + id.length() + "\r\n" + id + "\r\n$" + values.length() + "\r\n"
+            + values
+            + "\r\n$" + BODY_BYTES + "\r\n" + "x".repeat(BODY_BYTES) + "\r\n";
+    }
+
+    private Process start() throws Exception {
+        Path file = Files.writeString(folder.resolve("c.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+            + "\"discovery\":\"127.0.0.1:1\",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},"
+            + "\"settings\":" + StartupTest.settings() + "}");
+        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
+            "-Xmx64m", "-Xmn24m", "-XX:MaxDirectMemorySize=20m", "-XX:TieredStopAtLevel=1", "-cp",
+            System.getProperty("java.class.path"), Main.class.getName(), "serve").redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        return builder.start();
+    }
+
+    private static InetSocketAddress address(BufferedReader log) throws IOException {
+        for (String line; (line = log.readLine()) != null;) {
+            Matcher at = SERVES_AT.matcher(line);
+            if (at.find()) {
+                return new InetSocketAddress("127.0.0.1", Integer.parseInt(at.group(1)));
+            }
+        }
+        return fail("the program ended before it served");
+    }
+
+    /** Sends what each client sends, all at once, and returns how long the slowest of another client's pings took. */
+    private double longestPing(int clients, IntFunction<String> sends) throws Exception {
+        Process program = start();
+        List<Socket> sockets = new ArrayList<>();
+        try (BufferedReader log = program.inputReader()) {
+            InetSocketAddress address = address(log);
+            Socket usual = new Socket(address.getAddress(), address.getPort());
+            sockets.add(usual);
+            for (int i = 0; i < clients; i++) {
+                Socket socket = new Socket(address.getAddress(), address.getPort());
+                sockets.add(socket);
+                send(socket, sends.apply(i));
+            }
+            double longest = 0;
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WATCHED_MS); System.nanoTime() < end;) {
+                longest = Math.max(longest, ping(usual));
+                Thread.sleep(20);
+            }
+            assertTrue(program.isAlive());
+            return longest;
+        } finally {
+            program.destroyForcibly().waitFor();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Sends in a thread of its own, which ends at the latest when the socket is closed; reads nothing. */
+    private static void send(Socket socket, String text) {
+        Thread sender = new Thread(() -> {
+            try {
+                socket.getOutputStream().write(text.getBytes());
+                socket.getInputStream().readAllBytes();
+            } catch (IOException e) {
+                // The program may close the connection at any time.
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+    }
+
+    private static double ping(Socket client) throws IOException {
+        long sentAt = System.nanoTime();
+        client.getOutputStream().write(PING.getBytes());
+        assertEquals("+PONG\r\n", new String(client.getInputStream().readNBytes(7)));
+        return (System.nanoTime() - sentAt) / 1e6;
+    }
+
+    /** Before the fix the event loop stood still for 2 to 5 s: incomplete commands had used up the direct memory. */
+    @Test void clientsThatStopWithinALongCommandDoNotHoldUpOthers() throws Exception {
+        double longest = longestPing(CLIENTS, i -> put("half" + i).substring(0, put("half" + i).length() - MISSING_BYTES));
+        assertTrue(longest < LOST_AFTER_MS, "longest PING " + longest + " ms");
+    }
+
+    /** Complete commands hold memory until their reply: those that do not fit are rejected. */
+    @Test void clientsThatSendManyLongCommandsAtOnceDoNotHoldUpOthers() throws Exception {
+        double longest = longestPing(FLOODING_CLIENTS, i -> {
+            StringBuilder commands = new StringBuilder();
+            for (int command = 0; command < COMMANDS_AT_ONCE; command++) {
+                commands.append(put("flood" + i + "-" + command));
+            }
+            return commands.toString();
+        });
+        assertTrue(longest < LOST_AFTER_MS, "longest PING " + longest + " ms");
+    }
+}
--- a/src/test/java/kelphollow/program/PartialWriteTest.java
+++ b/src/test/java/kelphollow/program/PartialWriteTest.java
@@ -34,6 +34,7 @@
 import kelphollow.protocol.resp.RespFront;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.ResolvedEndpoint;
+import kelphollow.transport.ClientMemory;
 import kelphollow.transport.Front;
 import kelphollow.transport.ConnectionPools;
 import kelphollow.transport.Server;
@@ -123,7 +124,7 @@
     private InetSocketAddress platform(int shards) throws Exception {
         ControlSettings settings = SettingsConfig.read(ServerHarness.section(ServerHarness.example(), "settings"));
         return listen(() -> new RespFront(router(settings, shards, new RespBackend(pools(RespBackend::codec), ticker)),
-            ticker, settings, 100));
+            ticker, settings, 100, ClientMemory.ofHeap()));
     }
 
     private InetSocketAddress objects(int shards) throws Exception {
