--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -34,6 +34,10 @@
     /** A decoded message and the bytes that it holds; null in place of one that was rejected for lack of memory. */
     private record DecodedCommand(RedisMessage message, int bytes) {
         private static final DecodedCommand REJECTED = new DecodedCommand(null, 0);
+
+        boolean isRejected() {
+            return message == null;
+        }
     }
 
     private enum State {
@@ -158,7 +162,7 @@
             failConnection(slot, "ERR too many commands at once");
             return;
         }
-        if (command == DecodedCommand.REJECTED) {
+        if (command.isRejected()) {
             slot.rejected(0, false);
             return;
         }
