Settle an unknown outcome only after the longest hang of a node and a write's deadline

Cause: an attempt of unknown outcome counted as settled one write deadline (3 s) after its end; the node's list did not have the part yet, and it was sent again. Change: ObjectOptions.settleTime is the one bound for parts, completions and recovered outcomes; its hang is the setting objects.longest_node_hang_ms. Until then the client gets 503 with Retry-After 1, as the node may list the part soon. The tests' SETTLED_MS follows the bound; calls after it use new connections, as idle ones have ended by then.

--- a/src/main/java/kelphollow/program/ObjectConfig.java
+++ b/src/main/java/kelphollow/program/ObjectConfig.java
@@ -32,6 +32,7 @@
     private static final double DEFAULT_MAX_BODY_BYTES = 5L << 30;
     private static final double DEFAULT_MIN_BYTES_PER_SECOND = 256 * 1024;
     private static final double MILLIS_PER_SECOND = 1000;
+    private static final double DEFAULT_MAX_NODE_HANG_MS = 25_000;
     private static final double DEFAULT_REMEMBERED_PARTS = 10_000;
 
     static ObjectConfig read(String file) throws ConfigurationException {
@@ -56,7 +57,7 @@
         throws ConfigurationException {
         ConfigSection objects = json.section("objects");
         objects.allowOnly("shards", "classes", "bytes_per_unit", "most_units", "large_units", "largest_body",
-            "slowest_bytes_per_second", "remembered_parts");
+            "slowest_bytes_per_second", "longest_node_hang_ms", "remembered_parts");
         int cells = (int) objects.number("shards", 1);
         ConfigSection classes = objects.section("classes");
         classes.allowOnly("read", "write", "large");
@@ -68,6 +69,7 @@
             Math.min(maxUnits, settings.meanUnits()), objects.number("large_units", maxUnits, 1), cells,
             (long) objects.number("largest_body", DEFAULT_MAX_BODY_BYTES, 0),
             objects.number("slowest_bytes_per_second", DEFAULT_MIN_BYTES_PER_SECOND, 1) / MILLIS_PER_SECOND, stallTimeout,
+            objects.number("longest_node_hang_ms", DEFAULT_MAX_NODE_HANG_MS, 0),
             (int) objects.number("remembered_parts", DEFAULT_REMEMBERED_PARTS, 1));
     }
 
--- a/src/main/java/kelphollow/protocol/object/CompletionForwarding.java
+++ b/src/main/java/kelphollow/protocol/object/CompletionForwarding.java
@@ -79,7 +79,8 @@
         } else if (response.status() != 200) {
             exchange.respond(response);
         } else if (wait > 0) {
-            exchange.respond(S3Error.rejected(wait));   // the attempt with the unknown outcome may still run
+            // The attempt with the unknown outcome may still run, and may end at any time.
+            exchange.respond(S3Error.rejected(UploadQuery.QUERY_AGAIN_MS));
         } else {
             send();
         }
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -45,7 +45,7 @@
     public ObjectFront(RequestRouter router, Ticker ticker, ObjectOptions options, Ledger ledger)
         throws IOException, StoreFault {
         double startedAt = ticker.now();
-        double settleTime = options.write().deadline();
+        double settleTime = options.settleTime();
         this.lingering = new LingeringClose(ticker, options.stallTimeout(), LINGER_MS, MAX_LINGERING);
         UploadParts parts = new UploadParts(options.rememberedParts(), settleTime,
             ledger == null ? null : ledger.parts());
--- a/src/main/java/kelphollow/protocol/object/ObjectServices.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectServices.java
@@ -14,7 +14,12 @@
         return ticker.now();
     }
 
-    /** Time limit of a write in milliseconds, within which an attempt with an unknown outcome may still take effect. */
+    /** Milliseconds for which an attempt of unknown outcome may still take effect after its end. */
+    double settleTime() {
+        return options.settleTime();
+    }
+
+    /** Time limit of a write in milliseconds. */
     double writeDeadline() {
         return options.write().deadline();
     }
--- a/src/main/java/kelphollow/protocol/object/PartForwarding.java
+++ b/src/main/java/kelphollow/protocol/object/PartForwarding.java
@@ -113,7 +113,7 @@
     private void queryNode() {
         // A part without a record may have been sent by an earlier incarnation, whose attempts ended when this one started.
         unknownSince = part.state() == UploadPart.State.UNKNOWN ? part.unknownSince() : services.startedAt();
-        mayStillBeStored = services.now() - unknownSince < services.writeDeadline();
+        mayStillBeStored = services.now() - unknownSince < services.settleTime();
         stateBeforeQuery = part.state();
         part.markQuerying();
         query.send(exchange.call().listThisPart(), exchange);
@@ -138,7 +138,7 @@
             readAndCompare(PartOutcome.stored(found, stored.etag()));
         } else if (mayStillBeStored) {
             // The attempt with the unknown outcome may still run; sending another now could store the part twice.
-            revert(S3Error.rejected(unknownSince + services.writeDeadline() - services.now()));
+            revert(S3Error.rejected(UploadQuery.QUERY_AGAIN_MS));
         } else {
             send();
         }
@@ -150,15 +150,19 @@
 
     /** Restores the part's state before a query without a result; this client gets {@code error} unless it is null. */
     private void revert(S3Error error) {
-        S3Error forOthers = error == null ? S3Error.rejected(1) : error;
+        hadNoEffect(error == null ? S3Error.rejected(1) : error);
+        if (error != null) {
+            exchange.respond(error);
+        }
+    }
+
+    /** This client's request had no effect. An earlier attempt of unknown outcome stays unknown. */
+    private void hadNoEffect(S3Error forOthers) {
         if (stateBeforeQuery == UploadPart.State.UNKNOWN) {
             part.markUnknown(part.unknownSince(), forOthers);
         } else {
             part.forget(forOthers);
         }
-        if (error != null) {
-            exchange.respond(error);
-        }
     }
 
     // ------------------------------------------------------------ the outcome of this client's request
--- a/src/main/java/kelphollow/protocol/object/UploadQuery.java
+++ b/src/main/java/kelphollow/protocol/object/UploadQuery.java
@@ -17,6 +17,9 @@
         void failed(S3Error error);
     }
 
+    /** Advice to a client whose call waits for an attempt of unknown outcome, which may end at any time. */
+    static final double QUERY_AGAIN_MS = 1_000;
+
     private final RequestRouter router;
     private final ObjectRequestMapper mapper;
     private final Listener listener;
--- a/src/main/java/kelphollow/recovery/RecoveredOutcomes.java
+++ b/src/main/java/kelphollow/recovery/RecoveredOutcomes.java
@@ -6,7 +6,7 @@
  *
  * <p>A recorded outcome holds, whichever epoch wrote it. An intent without an outcome was in flight when its epoch ended.
  * Its connection closed at the latest when that process died, before this one opened the store, but the node may still
- * execute what it had received for as long as the deadline of the class. A missing record proves that an operation was not
+ * execute what it had received for the settle time. A missing record proves that an operation was not
  * executed only if the records are complete: they are complete for operations begun while they were kept, unless the store
  * has lost some since or has dropped them after their window.
  */
@@ -31,8 +31,7 @@
      *
      * @param epoch the epoch of this process; each start has a higher one
      * @param startedAt clock time at which this epoch began
-     * @param settleTime milliseconds after the end of an epoch in which its last attempts may take effect: the deadline of
-     *     the class
+     * @param settleTime milliseconds after the end of an epoch in which its last attempts may take effect
      * @param lostUpTo the last epoch of which the store may have lost records; 0: none
      */
     public RecoveredOutcomes(long epoch, double startedAt, double settleTime, long lostUpTo) {
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -24,7 +24,9 @@
 @org.junit.jupiter.api.Timeout(15)
 class ObjectFrontTest {
     private static final byte[] CONTENT = "0123456789abcdefghijklmnopqrstuvwxyz".getBytes();
-    private static final int SETTLED_MS = 3_100;   // after the write class's deadline, no attempt is in flight
+    // After this time no attempt can still take effect: a node hangs for 25 s at most, and works for a write's deadline.
+    private static final int SETTLED_MS = 28_100;
+    private static final int NODE_HANGS_MS = 8_000;
     private FakeObjectServer server;
     private ServerHarness harness;
     private HttpTestClient client;
@@ -283,6 +285,30 @@
         assertEquals(Map.of(id + "#1", 1), server.partWrites);
     }
 
+    /** Guards against a part that is stored twice because its node hung for longer than a write's deadline. */
+    @Test void aPartThatAHangingNodeHoldsIsNotSentAgain() throws Exception {
+        String id = begin("/symbols/m");
+        String line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        Fault hang = Fault.of("PUT", Kind.HOLD);
+        server.faults.add(hang);
+        client.send(line, "", CONTENT);
+        server.held.take();
+        harness.runFor(4_000);
+        assertEquals(504, client.readResponse().status());
+        harness.ticker.advance(NODE_HANGS_MS);
+
+        HttpTestClient.Response again = callAdvancingClock(line, CONTENT);
+
+        assertEquals(503, again.status());
+        assertEquals("1", again.headers().get("Retry-After"), "the node may list the part soon");
+        hang.gate().countDown();
+        while (!server.partWrites.containsKey(id + "#1")) {
+            Thread.sleep(5);
+        }
+        assertEquals(200, callAdvancingClock(line, CONTENT).status());
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
     @Test void afterARestartPartsAreQueriedBeforeTheyAreSent() throws Exception {
         String id = begin("/symbols/m");
         String line = "PUT /symbols/m?partNumber=";
@@ -292,9 +318,9 @@
         harness = gateway();
         client = new HttpTestClient(harness.address);
         harness.ticker.advance(SETTLED_MS);
-        assertEquals(200, client.call(line + "1&uploadId=" + id, "", CONTENT).status());
-        assertEquals(200, client.call(line + "2&uploadId=" + id, "", CONTENT).status());
-        assertEquals(404, client.call(line + "1&uploadId=none", "", CONTENT).status());
+        assertEquals(200, callAdvancingClock(line + "1&uploadId=" + id, CONTENT).status());
+        assertEquals(200, callAdvancingClock(line + "2&uploadId=" + id, CONTENT).status());
+        assertEquals(404, callAdvancingClock(line + "1&uploadId=none", CONTENT).status());
         assertEquals(Map.of(id + "#1", 1, id + "#2", 1), server.partWrites);
     }
 
--- a/src/test/java/kelphollow/program/StoreRestartTest.java
+++ b/src/test/java/kelphollow/program/StoreRestartTest.java
@@ -30,7 +30,7 @@
 class StoreRestartTest {
     private static final byte[] CONTENT = "0123456789".getBytes();
     private static final byte[] LIST = "<CompleteMultipartUpload/>".getBytes();
-    private static final int SETTLED_MS = 3_100;
+    private static final int SETTLED_MS = 28_100;
     @TempDir
     Path folder;
     private int restarts;
@@ -170,7 +170,7 @@
         server.seen.clear();
         kill();
         harness.ticker.advance(SETTLED_MS);
-        assertEquals(200, client.call(part(id, 1), "", CONTENT).status());
+        assertEquals(200, callOnNewConnection(part(id, 1), CONTENT).status());
         assertEquals("GET", server.seen.take().substring(0, 3));
         assertEquals("PUT", server.seen.take().substring(0, 3));
         assertEquals(Map.of(id + "#1", 1), server.partWrites);
@@ -207,7 +207,7 @@
         server.seen.clear();
         harness.ticker.advance(SETTLED_MS);
         await(() -> server.objects.containsKey("/symbols/m"));
-        assertEquals(404, client.call(line, "", LIST).status(), "the upload is gone: it was completed");
+        assertEquals(404, callOnNewConnection(line, LIST).status(), "the upload is gone: it was completed");
         assertTrue(server.seen.stream().noneMatch(l -> l.startsWith("POST")), server.seen.toString());
         assertArrayEquals(CONTENT, server.objects.get("/symbols/m").bytes());
     }
@@ -220,7 +220,7 @@
         assertEquals(502, client.call(line, "", LIST).status());
         harness.ticker.advance(SETTLED_MS);
         server.seen.clear();
-        assertEquals(200, client.call(line, "", LIST).status());
+        assertEquals(200, callOnNewConnection(line, LIST).status());
         assertEquals("GET", server.seen.take().substring(0, 3));
         assertEquals("POST", server.seen.take().substring(0, 4));
     }
