Keep a part's outcome unknown when a later attempt had no effect

Cause: a part of unknown outcome that was sent again and rejected before its last byte was forgotten, and its next try was sent without a question to the node. Change: PartForwarding.hadNoEffect restores the earlier unknown outcome on all three paths.

--- a/src/main/java/kelphollow/protocol/object/PartForwarding.java
+++ b/src/main/java/kelphollow/protocol/object/PartForwarding.java
@@ -173,7 +173,7 @@
         if (response.status() == 200 && etag != null && content != null) {
             part.markStored(content, etag, services.now());
         } else if (response.isClientError()) {
-            part.forget(S3Error.rejected(1));
+            hadNoEffect(S3Error.rejected(1));
         } else {
             part.markUnknown(services.now(), S3Error.failed(false));
         }
@@ -188,7 +188,7 @@
     /** Nothing was sent, because the intent did not become durable. */
     private void intentNotRecorded(S3Error error) {
         isSender = false;
-        part.forget(error);
+        hadNoEffect(error);
         exchange.respond(error);
     }
 
@@ -198,7 +198,7 @@
         if (exchange.transfer() != null && exchange.transfer().isBodyForwarded()) {
             part.markUnknown(services.now(), error);
         } else {
-            part.forget(error);
+            hadNoEffect(error);
         }
     }
 
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -309,6 +309,31 @@
         assertEquals(Map.of(id + "#1", 1), server.partWrites);
     }
 
+    /** Guards against a part whose first attempt is forgotten because a later one was rejected before it was sent. */
+    @Test void aPartOfUnknownOutcomeStaysUnknownWhenTheNextAttemptIsRejected() throws Exception {
+        String id = begin("/symbols/m");
+        String line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        server.faults.add(Fault.of("PUT", Kind.CRASH_BEFORE));
+        assertEquals(502, callAdvancingClock(line, CONTENT).status());
+        harness.ticker.advance(SETTLED_MS);
+        for (int i = 0; i < 3; i++) {
+            server.faults.add(Fault.of("PUT", Kind.REFUSE));
+        }
+        assertEquals(503, callAdvancingClock(line, CONTENT).status());
+        server.faults.clear();
+        server.seen.clear();
+
+        int status = 503;
+        for (int i = 0; i < 10 && status == 503; i++) {       // the node counts as at capacity for a while
+            harness.runFor(1_000);
+            status = callAdvancingClock(line, CONTENT).status();
+        }
+
+        assertEquals(200, status);
+        assertTrue(server.seen.take().startsWith("GET"), "the node is queried first");
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
     @Test void afterARestartPartsAreQueriedBeforeTheyAreSent() throws Exception {
         String id = begin("/symbols/m");
         String line = "PUT /symbols/m?partNumber=";
