Read ahead while an upload waits, so that its client's end is noticed

Cause: ObjectConnection read on demand only, one read at a time; while an upload waited nothing demanded its body, and the client's end lay behind it. SendEligibility knows only of ends that were read. DemandQueue holds what is not demanded on the heap and counts it.

--- a/src/main/java/kelphollow/program/ObjectScheduler.java
+++ b/src/main/java/kelphollow/program/ObjectScheduler.java
@@ -22,6 +22,7 @@
 import kelphollow.routing.ResolvedEndpoint;
 import kelphollow.routing.Ticker;
 import kelphollow.store.StoreFault;
+import kelphollow.transport.ClientMemory;
 import kelphollow.transport.ConnectionPools;
 import kelphollow.transport.HttpCall;
 
@@ -119,7 +120,7 @@
         }
         router.start(source, false);   // xDS by REST is always polled; settings.discovery applies only to the platform
         router.restoreLimits(limits);
-        setComponents(router, new ObjectFront(router, ticker(), config.options(), ledger));
+        setComponents(router, new ObjectFront(router, ticker(), config.options(), ledger, ClientMemory.ofHeap()));
     }
 
     private XdsPoller poll(ObjectConfig config, ClusterConfig.Polled polled, RequestRouter router) {
--- a/src/main/java/kelphollow/protocol/object/DemandQueue.java
+++ b/src/main/java/kelphollow/protocol/object/DemandQueue.java
@@ -1,34 +1,84 @@
 package kelphollow.protocol.object;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import kelphollow.transport.ClientMemory;
 
 /**
  * Delivers the messages of a connection one per demand. A single read may yield a head and its body; the queue holds back
- * the body until the node takes it, so that undemanded bodies do not pile up in memory. It holds at most what one read of
- * the socket yields. The receiver owns a message once it is delivered. Confined to the event loop.
+ * the body until the node takes it, so that undemanded bodies do not pile up in memory. What it holds is copied to the heap,
+ * so that receive buffers are not kept, and counted in {@link ClientMemory}. The receiver owns a message once it is
+ * delivered. Confined to the event loop.
  */
 final class DemandQueue {
+    /** Counted for each message beside its content. */
+    private static final long MESSAGE_BYTES = 256;
+    /** Counted for a request's head, whose own size is not known here. */
+    private static final long HEAD_BYTES = 16 * 1024;
+
     private final Channel channel;
+    private final ClientMemory memory;
     private final Consumer<Object> receiver;
     private final ArrayDeque<Object> messages = new ArrayDeque<>();
+    private long heldBytes;
     private boolean demanded;
     /** Whether a message is being delivered, or {@link #withDeliveryDeferred} holds deliveries back. */
     private boolean delivering;
 
-    DemandQueue(Channel channel, Consumer<Object> receiver) {
+    DemandQueue(Channel channel, ClientMemory memory, Consumer<Object> receiver) {
         this.channel = channel;
+        this.memory = memory;
         this.receiver = receiver;
     }
 
     /** Adds a message that was read, and takes ownership of it. */
     void add(Object message) {
-        messages.add(message);
+        if (demanded && !delivering && messages.isEmpty()) {
+            delivering = true;
+            try {
+                demanded = false;
+                receiver.accept(message);
+            } finally {
+                delivering = false;
+            }
+        } else {
+            hold(message);
+        }
         deliver();
     }
 
+    private void hold(Object message) {
+        Object held = message;
+        if (message instanceof HttpContent content && content.content().isReadable()) {
+            ByteBuf copy = Unpooled.copiedBuffer(content.content());
+            held = content.replace(copy);
+            content.release();
+        }
+        messages.add(held);
+        heldBytes += size(held);
+        memory.add(size(held));
+    }
+
+    private static long size(Object message) {
+        if (message instanceof HttpContent content) {
+            return MESSAGE_BYTES + content.content().readableBytes();
+        }
+        return MESSAGE_BYTES + (message instanceof HttpRequest ? HEAD_BYTES : 0);
+    }
+
+    private Object remove() {
+        Object message = messages.remove();
+        heldBytes -= size(message);
+        memory.release(size(message));
+        return message;
+    }
+
     /** Demands one more message. May be called while another is being delivered. */
     void demand() {
         demanded = true;
@@ -45,6 +95,11 @@
         return demanded && messages.isEmpty();
     }
 
+    /** Whether memory allows reading messages that are not demanded yet. */
+    boolean mayReadAhead() {
+        return memory.mayReadAhead(heldBytes);
+    }
+
     /** Runs a task; messages that it demands are delivered after it ends. */
     void withDeliveryDeferred(Runnable task) {
         delivering = true;
@@ -66,7 +121,7 @@
         try {
             while (demanded && !messages.isEmpty()) {
                 demanded = false;
-                receiver.accept(messages.remove());
+                receiver.accept(remove());
             }
         } finally {
             delivering = false;
@@ -75,7 +130,8 @@
 
     /** Releases the messages that were not delivered. */
     void release() {
-        messages.forEach(ReferenceCountUtil::release);
-        messages.clear();
+        while (!messages.isEmpty()) {
+            ReferenceCountUtil.release(remove());
+        }
     }
 }
--- a/src/main/java/kelphollow/protocol/object/ObjectConnection.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectConnection.java
@@ -11,10 +11,15 @@
 import kelphollow.routing.Invariant;
 
 /**
- * A client's connection, with one exchange at a time. It reads only on demand, so that bodies do not pile up in memory.
- * Content that no exchange takes is released here. Confined to the event loop.
+ * A client's connection, with one exchange at a time. It reads on demand, so that bodies do not pile up in memory. While a
+ * request waits to be forwarded, it reads ahead as far as {@link kelphollow.transport.ClientMemory} allows: a client's
+ * disconnect is only detected behind all that it has sent. Content that no exchange takes is released here. Confined to the
+ * event loop.
  */
 final class ObjectConnection extends ChannelInboundHandlerAdapter {
+    /** Time after which reading ahead is tried again once memory did not allow it. */
+    private static final double READ_AHEAD_RETRY_MS = 50;
+
     private final ObjectFront front;
     private final ObjectServices services;
     private final Channel channel;
@@ -25,12 +30,17 @@
     private HttpRequest next;
     /** Whether the current read has yielded a message. */
     private boolean readMessage;
+    /** Whether anything was read since {@link #scheduleBegin} was called last. */
+    private boolean readSinceScheduled;
+    private boolean readAheadScheduled;
+    /** Whether the connection closes or is closed; how it is read is no longer changed here. */
+    private boolean closing;
 
     ObjectConnection(ObjectFront front, ObjectServices services, Channel channel) {
         this.front = front;
         this.services = services;
         this.channel = channel;
-        this.inbound = new DemandQueue(channel, this::handle);
+        this.inbound = new DemandQueue(channel, services.clientMemory(), this::handle);
         this.idleTracker = new ConnectionIdleTracker(services.ticker(), services.options().stallTimeout());
     }
 
@@ -57,6 +67,7 @@
 
     /** Demands one more message. May be called while another is being delivered. */
     void demand() {
+        updateReadAhead();
         inbound.demand();
     }
 
@@ -66,7 +77,9 @@
 
     @Override public void channelRead(ChannelHandlerContext context, Object message) {
         readMessage = true;
+        readSinceScheduled = true;
         inbound.add(message);
+        updateReadAhead();
     }
 
     /** Reads on if the read yielded no message, as happens when a head arrives in several segments. */
@@ -80,6 +93,28 @@
         }
     }
 
+    /** Reads on while the current request waits with its body unread, or the next one waits to begin. */
+    private void updateReadAhead() {
+        if (closing) {
+            return;
+        }
+        boolean waits = next != null || current != null && current.isBodyUnread();
+        boolean readsAhead = waits && inbound.mayReadAhead();
+        if (readsAhead != channel.config().isAutoRead()) {
+            channel.config().setAutoRead(readsAhead);
+            if (inbound.hasUnmetDemand()) {
+                channel.read();                // the end of automatic reading has cancelled the pending read
+            }
+        }
+        if (waits && !readsAhead && !readAheadScheduled) {
+            readAheadScheduled = true;
+            services.ticker().after(READ_AHEAD_RETRY_MS, () -> {
+                readAheadScheduled = false;
+                updateReadAhead();
+            });
+        }
+    }
+
     private void handle(Object message) {
         if (message instanceof HttpRequest request) {
             idleTracker.completeHead();
@@ -98,18 +133,27 @@
     }
 
     /**
-     * Begins the next request after one more read, which detects a client that disconnected right after its request: the
-     * request of such a client must not be forwarded. Anything else that this read yields stays queued until demanded.
+     * Begins the next request once a further read yields nothing, which detects a client that disconnected right after its
+     * request: the request of such a client must not be forwarded. What these reads yield stays queued until demanded. If
+     * it is more than may be read ahead, the request begins without the rest.
      */
     private void scheduleBegin() {
+        readSinceScheduled = false;
+        updateReadAhead();
         channel.read();
         SingleThreadEventLoop loop = (SingleThreadEventLoop) channel.eventLoop();
         loop.executeAfterEventLoopIteration(() -> loop.execute(() -> {
-            if (next != null && current == null && channel.isActive()) {
-                HttpRequest request = next;
-                next = null;
-                inbound.withDeliveryDeferred(() -> begin(request));
+            if (next == null || current != null || !channel.isActive()) {
+                return;
             }
+            if (readSinceScheduled && inbound.mayReadAhead()) {
+                scheduleBegin();
+                return;
+            }
+            HttpRequest request = next;
+            next = null;
+            inbound.withDeliveryDeferred(() -> begin(request));
+            updateReadAhead();
         }));
     }
 
@@ -126,6 +170,7 @@
     void exchangeFinished(boolean keepAlive) {
         boolean bodyRead = current.isBodyRead();
         current = null;
+        updateReadAhead();
         idleTracker.restart();
         if (!keepAlive || !bodyRead || front.isShuttingDown()) {
             close();
@@ -155,6 +200,8 @@
     /** Closes the connection once the last response is written; requests that arrive meanwhile are discarded. */
     void close() {
         next = null;
+        closing = true;
+        inbound.release();
         if (front.remove(this)) {
             front.lingeringClose(channel);
         }
@@ -167,6 +214,7 @@
     }
 
     @Override public void channelInactive(ChannelHandlerContext context) {
+        closing = true;
         inbound.release();
         front.remove(this);
         next = null;
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -61,6 +61,11 @@
         return body == Body.READ;
     }
 
+    /** Whether the request has a body of which nothing was requested yet. */
+    boolean isBodyUnread() {
+        return body == Body.UNREAD && !finished;
+    }
+
     boolean isFinished() {
         return finished;
     }
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -12,6 +12,7 @@
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
 import kelphollow.store.StoreFault;
+import kelphollow.transport.ClientMemory;
 import kelphollow.transport.Front;
 import kelphollow.transport.LingeringClose;
 
@@ -39,10 +40,11 @@
      * Creates a front whose connections are handed over by {@link #accept}.
      *
      * @param ledger null without persistence; otherwise its records are loaded
+     * @param clientMemory bounds what clients hold while their requests wait
      * @throws IOException if the ledger cannot be read
      * @throws StoreFault if the ledger's store is damaged or closed
      */
-    public ObjectFront(RequestRouter router, Ticker ticker, ObjectOptions options, Ledger ledger)
+    public ObjectFront(RequestRouter router, Ticker ticker, ObjectOptions options, Ledger ledger, ClientMemory clientMemory)
         throws IOException, StoreFault {
         double startedAt = ticker.now();
         double settleTime = options.settleTime();
@@ -58,7 +60,7 @@
             completions.restore(recovered, startedAt);
         }
         this.services = new ObjectServices(router, ticker, options, new ObjectRequestMapper(options, ticker), parts,
-            completions, startedAt);
+            completions, clientMemory, startedAt);
     }
 
     @Override public int connections() {
--- a/src/main/java/kelphollow/protocol/object/ObjectServices.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectServices.java
@@ -2,14 +2,16 @@
 
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.ClientMemory;
 
 /**
  * Services shared by the exchanges of the object API.
  *
+ * @param clientMemory bounds what clients hold while their requests wait
  * @param startedAt when this incarnation started, in milliseconds on the ticker's clock
  */
 record ObjectServices(RequestRouter router, Ticker ticker, ObjectOptions options, ObjectRequestMapper mapper,
-                      UploadParts parts, Completions completions, double startedAt) {
+                      UploadParts parts, Completions completions, ClientMemory clientMemory, double startedAt) {
     double now() {
         return ticker.now();
     }
