Warm the object API up before it listens

Callers saw: with the reading ahead, 3 to 7 attempts of the first burst after a start still began too long after their clients had left. Cause: the first responses load the XML writer and the first attempts the node's classes on the event loop, and reads run uncompiled; the log of loaded classes shows both within the burst. Change: ObjectWarmup runs uploads through a front and router of its own over in-process channels, a second at the most; the class archive is trained with it too.

--- a/src/main/java/kelphollow/program/ClassArchiveTraining.java
+++ b/src/main/java/kelphollow/program/ClassArchiveTraining.java
@@ -17,6 +17,7 @@
 import kelphollow.decision.ControlEvent.EndpointState;
 import kelphollow.decision.ControlSettings;
 import kelphollow.protocol.discovery.DiscoveryList;
+import kelphollow.protocol.object.ObjectWarmup;
 import kelphollow.protocol.resp.RespWarmup;
 import kelphollow.routing.ResolvedEndpoint;
 import kelphollow.transport.WheelTicker;
@@ -39,8 +40,10 @@
     private String file;
 
     @Override public int run(PrintStream out, PrintStream err) throws ConfigurationException, IOException {
-        ControlSettings settings = ObjectConfig.read(file).settings();
+        ObjectConfig objects = ObjectConfig.read(file);
+        ControlSettings settings = objects.settings();
         RespWarmup.run(settings, 0);
+        ObjectWarmup.run(settings, objects.options(), 0);
         InetSocketAddress self;
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             self = new InetSocketAddress(probe.getInetAddress(), probe.getLocalPort());
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import kelphollow.protocol.mgmt.MgmtServer;
+import kelphollow.protocol.object.ObjectWarmup;
 import kelphollow.protocol.resp.RespWarmup;
 import kelphollow.transport.WheelTicker;
 import org.kohsuke.args4j.Option;
@@ -70,6 +71,7 @@
     private Started startGateway(EventLoop loop, WheelTicker ticker) throws ConfigurationException {
         ObjectConfig config = ObjectConfig.read(file);
         ObjectScheduler scheduler = ObjectScheduler.start(config, loop, ticker);
+        ObjectWarmup.run(config.settings(), config.options(), config.seed());
         return new Started(scheduler, config.listen(), new PlatformConfig.Operations(config.management(), false),
             ShutdownSchedule.longestDeadline(config.settings()), () -> MaintenanceFile.path(config.name()),
             () -> scheduler.reload(ObjectConfig.read(file)));
--- a/src/test/java/kelphollow/program/ProgramTest.java
+++ b/src/test/java/kelphollow/program/ProgramTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import kelphollow.protocol.object.ObjectWarmup;
 import kelphollow.protocol.resp.RespWarmup;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -81,6 +82,8 @@
     }
 
     @Test void warmingUpServesRequests() throws Exception {
-        assertTrue(RespWarmup.run(ObjectConfig.read(EXAMPLE).settings(), 1) > 20);
+        ObjectConfig config = ObjectConfig.read(EXAMPLE);
+        assertTrue(RespWarmup.run(config.settings(), 1) > 20);
+        assertTrue(ObjectWarmup.run(config.settings(), config.options(), 1) > 20);
     }
 }
