--- a/src/test/java/kelphollow/program/DisconnectAfterRequestTest.java
+++ b/src/test/java/kelphollow/program/DisconnectAfterRequestTest.java
@@ -126,8 +126,8 @@
             try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
                  ServerHarness harness = objects(node)) {
                 harness.reload(Map.of("objects", oneShard()));          // no node: the upload waits
-                end.getValue().apply(clients.connect(harness.address).send(request("PUT", "left", "x".repeat(
-                    LONG_BODY_BYTES))));
+                ScriptedPeer.Connection client = clients.connect(harness.address);
+                end.getValue().apply(client.send(request("PUT", "left", "x".repeat(LONG_BODY_BYTES))));
                 awaitOpenRequests(harness, 0);
                 harness.reload(Map.of("objects", oneShard()), node.address());
                 clients.connect(harness.address).send(request("GET", "stays", ""));
