--- a/src/test/java/kelphollow/program/DisconnectAfterRequestTest.java
+++ b/src/test/java/kelphollow/program/DisconnectAfterRequestTest.java
@@ -120,7 +120,7 @@
         }
     }
 
-    /** Guards against an upload that is stored for a client that left while it waited, behind a body longer than one read. */
+    /** Guards against an upload that is stored for a client that left while it waited, behind a body of several reads. */
     @Test void aDisconnectBehindALongBodyThatWaitsIsDetected() throws Exception {
         for (Map.Entry<String, Disconnect> end : DISCONNECTS.entrySet()) {
             try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
