Free an incomplete command's memory when its connection begins to close

Cause: a connection that is closed as idle held the bytes of its incomplete command until the client had closed too, up to 0.4 s. Change: close() discards the input as an eviction does. Result: ClientMemoryTest, SlowWriterTest, ClientRaceTest and GracefulShutdownTest pass.

--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -246,6 +246,7 @@
     void close() {
         if (state != State.CLOSED) {
             markClosed();
+            discardInput();
             front.lingeringClose(channel);
         }
     }
