Follow the deadlines of the settings in force at a shutdown

Cause: PlatformScheduler took the ShutdownSchedule from the settings of the start; reload left it. Change: the new schedule holds once the settings take effect, the earlier of both until then.

--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlSettings;
+import kelphollow.decision.ControlSettings.RequestClass;
 import kelphollow.decision.EndpointListLease;
 import kelphollow.protocol.discovery.DiscoveryWatch;
 import kelphollow.protocol.resp.RespBackend;
@@ -34,9 +35,12 @@
     /** The classes and attempt limit that apply after the activation delay of the last reload. */
     private SettingsReload.RequestSettings requestSettings;
     private Ticker.Timeout pendingActivation;
+    /** Of the settings that were read last. */
+    private ShutdownSchedule shutdownSchedule;
+    private Ticker.Timeout pendingSchedule;
 
     private PlatformScheduler(PlatformConfig config, EventLoop loop, Ticker ticker) {
-        super(loop, ticker, config.sockets(), ShutdownSchedule.platform(config.settings()));
+        super(loop, ticker, config.sockets(), shutdownSchedule(config.settings().classes()));
         this.discoveryRandom = new Random(config.seed());
     }
 
@@ -62,6 +66,7 @@
         front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
             ClientMemory.ofHeap());
         requestSettings = requestSettings(settings);
+        shutdownSchedule = shutdownSchedule(settings.classes());
         setComponents(router, front);
     }
 
@@ -100,9 +105,14 @@
                 router().changeEndpointSource(watch(router(), NO_VERSION), pushed);
             }
             reloadSettings(requestSettings(config.settings()));
+            reloadShutdownSchedule(shutdownSchedule(config.settings().classes()));
         });
     }
 
+    private static ShutdownSchedule shutdownSchedule(List<RequestClass> classes) {
+        return ShutdownSchedule.platform(ShutdownSchedule.longestDeadline(classes));
+    }
+
     /**
      * Applies the stricter of old and new settings at once, and the new settings alone after {@link
      * SettingsReload#ACTIVATION_DELAY_MS}.
@@ -122,4 +132,14 @@
             router().changeSettings(activated.classes(), activated.maxAttempts());
         });
     }
+
+    /** Until the new settings take effect the platform may count by either; a class that has vanished no longer counts. */
+    private void reloadShutdownSchedule(ShutdownSchedule next) {
+        setShutdownSchedule(shutdownSchedule.earlier(next));
+        shutdownSchedule = next;
+        if (pendingSchedule != null) {
+            pendingSchedule.cancel();
+        }
+        pendingSchedule = ticker().after(SettingsReload.ACTIVATION_DELAY_MS, () -> setShutdownSchedule(next));
+    }
 }
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -24,7 +24,8 @@
     private final EventLoop loop;
     private final Ticker ticker;
     private final Server server;
-    private ShutdownSchedule shutdown;
+    /** Changed on the loop; read by the shutdown hook, too. */
+    private volatile ShutdownSchedule shutdown;
     private Front front;
     private RequestRouter router;
     private volatile boolean hasInheritedSocket;
@@ -66,7 +67,6 @@
 
     /** Accepts clients from the inherited socket. The next process holds it too, so shutdown stops accepting at once. */
     final InetSocketAddress listen(ServerSocketChannel inherited) {
-        shutdown = shutdown.acceptingNothing();
         hasInheritedSocket = true;
         return server.listen(loop, inherited, front);
     }
@@ -127,7 +127,7 @@
             if (shutdown.answerWithin() < Double.POSITIVE_INFINITY) {
                 router.startShutdown(ticker.now() + shutdown.answerWithin());
             }
-            ticker.after(shutdown.acceptFor(), () -> {
+            ticker.after(acceptsFor(), () -> {
                 server.stop();
                 front.shutDown(whenDone);
             });
@@ -136,7 +136,12 @@
 
     /** Returns how long new connections are still accepted after the shutdown has started, in milliseconds. */
     final double acceptsFor() {
-        return shutdown.acceptFor();
+        return (hasInheritedSocket ? shutdown.acceptingNothing() : shutdown).acceptFor();
+    }
+
+    /** Replaces the schedule of a later shutdown; called on the loop. */
+    final void setShutdownSchedule(ShutdownSchedule schedule) {
+        shutdown = schedule;
     }
 
     /** Called on the loop when the shutdown starts. */
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -73,7 +73,7 @@
         ObjectScheduler scheduler = ObjectScheduler.start(config, loop, ticker);
         ObjectWarmup.run(config.settings(), config.options(), config.seed());
         return new Started(scheduler, config.listen(), new PlatformConfig.Operations(config.management(), false),
-            ShutdownSchedule.longestDeadline(config.settings()), () -> MaintenanceFile.path(config.name()),
+            ShutdownSchedule.longestDeadline(config.settings().classes()), () -> MaintenanceFile.path(config.name()),
             () -> scheduler.reload(ObjectConfig.read(file)));
     }
 
@@ -85,7 +85,7 @@
         RespWarmup.run(config.settings(), config.seed());
         scheduler.awaitFirstResponse(DISCOVERY_TIMEOUT_MS);
         return new Started(scheduler, config.listen(), config.operations(),
-            ShutdownSchedule.longestDeadline(config.settings()), MaintenanceFile::path,
+            ShutdownSchedule.longestDeadline(config.settings().classes()), MaintenanceFile::path,
             () -> scheduler.reload(PlatformConfig.read(System.getenv())));
     }
 
--- a/src/main/java/kelphollow/program/ShutdownSchedule.java
+++ b/src/main/java/kelphollow/program/ShutdownSchedule.java
@@ -1,6 +1,6 @@
 package kelphollow.program;
 
-import kelphollow.decision.ControlSettings;
+import java.util.List;
 import kelphollow.decision.ControlSettings.RequestClass;
 
 /**
@@ -21,20 +21,25 @@
     // and have no other scheduler: later requests are lost, so connections stay open as long as any request can succeed.
     private static final double CLOSE_MARGIN_MS = ANSWER_MARGIN_MS + 150;
 
-    /** For the platform, whose clients have no other scheduler. */
-    static ShutdownSchedule platform(ControlSettings settings) {
-        double killAfter = KILL_DELAY_MS + Math.min(DEADLINE_CAP_MS, longestDeadline(settings));
+    /** For the platform, whose clients have no other scheduler; {@code longestDeadline} is that of the settings in force. */
+    static ShutdownSchedule platform(double longestDeadline) {
+        double killAfter = KILL_DELAY_MS + Math.min(DEADLINE_CAP_MS, longestDeadline);
         return new ShutdownSchedule(Math.max(GATEWAY.acceptFor, killAfter - CLOSE_MARGIN_MS),
             killAfter - ANSWER_MARGIN_MS);
     }
 
+    /** Returns the schedule that holds for both of two kills, while it is open which one will come. */
+    ShutdownSchedule earlier(ShutdownSchedule other) {
+        return new ShutdownSchedule(Math.min(acceptFor, other.acceptFor), Math.min(answerWithin, other.answerWithin));
+    }
+
     /** Returns the schedule for a socket that the next process also holds: new connections are left to that process. */
     ShutdownSchedule acceptingNothing() {
         return new ShutdownSchedule(0, answerWithin);
     }
 
     /** Returns the longest deadline of any class, in milliseconds. */
-    static double longestDeadline(ControlSettings settings) {
-        return settings.classes().stream().mapToDouble(RequestClass::deadline).max().orElse(0);
+    static double longestDeadline(List<RequestClass> classes) {
+        return classes.stream().mapToDouble(RequestClass::deadline).max().orElse(0);
     }
 }
--- a/src/test/java/kelphollow/program/GracefulShutdownTest.java
+++ b/src/test/java/kelphollow/program/GracefulShutdownTest.java
@@ -38,6 +38,27 @@
         }
     }
 
+    /** Guards against connections that SIGKILL finds open, because new settings brought it forward. */
+    @Test void theScheduleFollowsTheSettingsInForce() throws Exception {
+        for (int settledMs : new int[] {0, 6_000}) {
+            try (ServerHarness harness = ServerHarness.resp(null, new InetSocketAddress("127.0.0.1", 1));
+                 Socket client = new Socket(harness.address.getAddress(), harness.address.getPort())) {
+                client.setSoTimeout(10_000);
+                assertEquals("+PONG\r\n", ping(client));
+                harness.reloadWithoutLongerDeadlines(1_200);
+                harness.ticker.advance(settledMs);
+
+                harness.sigterm(() -> {});
+                // SIGKILL comes 1.9 s after SIGTERM at the soonest; idle connections close 0.5 s before it.
+                harness.ticker.advance(1_350);
+                assertEquals("+PONG\r\n", ping(client));
+                harness.ticker.advance(60);
+
+                assertEquals(-1, client.getInputStream().read(), settledMs + " ms after the new settings");
+            }
+        }
+    }
+
     /** Requests queued, sent to a hanging node or received after SIGTERM are answered 350 ms before SIGKILL. */
     @Test void requestsThatWaitForHangingNodesAreAnsweredBeforeTheKill() throws Exception {
         try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
--- a/src/test/java/kelphollow/program/ServerHarness.java
+++ b/src/test/java/kelphollow/program/ServerHarness.java
@@ -91,6 +91,18 @@
         loop.submit(() -> {}).sync();
     }
 
+    /** Reloads as at SIGHUP with only the classes whose deadline is at most this. */
+    void reloadWithoutLongerDeadlines(double deadline) throws Exception {
+        Map<String, Object> settings = section(example(), "settings");
+        settings.put("discovery", "automatic");
+        List<?> classes = (List<?>) settings.get("request_classes");
+        settings.put("request_classes",
+            classes.stream().filter(row -> (Double) ((Map<?, ?>) row).get("deadline") <= deadline).toList());
+        ((PlatformScheduler) scheduler)
+            .reload(platformConfig(config.discovery(), config.known(), SettingsConfig.read(settings)));
+        loop.submit(() -> {}).sync();
+    }
+
     /** Reloads as at SIGHUP with a new discovery address; the loop applies it in a later task. */
     void signalReload(InetSocketAddress discovery) {
         ((PlatformScheduler) scheduler).reload(platformConfig(discovery, config.known(), config.settings()));
--- a/src/test/java/kelphollow/program/ShutdownScheduleTest.java
+++ b/src/test/java/kelphollow/program/ShutdownScheduleTest.java
@@ -4,15 +4,14 @@
 
 import java.util.List;
 import java.util.Map;
-import kelphollow.decision.ControlSettings;
 import org.junit.jupiter.api.Test;
 
 /** The schedule after SIGTERM. The platform's SIGKILL follows after the longest deadline, capped at 3 s, plus 0.7 s. */
 class ShutdownScheduleTest {
-    private static ControlSettings settings(double deadline) throws Exception {
+    private static double settings(double deadline) throws Exception {
         Map<String, Object> settings = ServerHarness.section(ServerHarness.example(), "settings");
         settings.put("request_classes", List.of(Map.of("name", "c", "aim", 50.0, "deadline", deadline)));
-        return SettingsConfig.read(settings);
+        return ShutdownSchedule.longestDeadline(SettingsConfig.read(settings).classes());
     }
 
     @Test void answersEndBeforeTheKillAndConnectionsBeforeThem() throws Exception {
