Change the maintenance file under a lock of both processes, one node at a time

Callers saw: of two maint-on calls within 200 ms, one to each process of an upgrade, both acknowledged, one was overwritten. Cause: each process wrote the whole set that it knew of; reading, changing and writing had no lock.

--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -26,6 +26,8 @@
     private final EventLoop loop;
     private final MaintenanceFile file;
     private final ProcessHandover handover;
+    /** Calls whose change has been given to the router and is not written to the file yet. */
+    private int openChanges;
     /** In Unix milliseconds, NaN until the process listens. */
     private volatile double listeningSince = Double.NaN;
     private volatile boolean shuttingDown;
@@ -63,12 +65,16 @@
             case STATUS -> CompletableFuture.completedFuture(status());
             case FLEET_STATUS -> scheduler.onLoop(router -> scheduler.fleetStatus())
                 .thenApply(text -> text == null ? "NAK this instance is in no fleet" : "ACK " + text);
-            case MAINTENANCE_ON -> scheduler.onLoop(router -> router.startMaintenance(command.node()) ? router
-                .nodesInMaintenance() : null)
-                .thenApplyAsync(nodes -> acknowledge(command.node(), nodes, " is out"), loop);
-            case MAINTENANCE_OFF -> scheduler.onLoop(router -> router.endMaintenance(command.node()) ? router
-                .nodesInMaintenance() : null)
-                .thenApplyAsync(nodes -> acknowledge(command.node(), nodes, " may serve"), loop);
+            case MAINTENANCE_ON -> {
+                openChanges++;
+                yield scheduler.onLoop(router -> router.startMaintenance(command.node()))
+                    .thenComposeAsync(known -> acknowledge(command.node(), true, known), loop);
+            }
+            case MAINTENANCE_OFF -> {
+                openChanges++;
+                yield scheduler.onLoop(router -> router.endMaintenance(command.node()))
+                    .thenComposeAsync(known -> acknowledge(command.node(), false, known), loop);
+            }
         };
     }
 
@@ -85,29 +91,36 @@
         return ready ? "ACK ready" : "NAK waiting for discovery";
     }
 
-    /** Writes the nodes in maintenance to the file and returns the answer; null {@code nodes} means an unknown node. */
-    private String acknowledge(String node, Set<String> nodes, String outcome) {
-        if (nodes == null) {
-            return "NAK no storage node is named " + node;
+    /** Writes the change to the file, applies what the file then says, and returns the answer. */
+    private CompletionStage<String> acknowledge(String node, boolean inMaintenance, boolean known) {
+        openChanges--;
+        if (!known) {
+            return CompletableFuture.completedFuture("NAK no storage node is named " + node);
         }
-        String answer = "ACK " + node + outcome;
+        String answer = "ACK " + node + (inMaintenance ? " is out" : " may serve");
         try {
-            file.write(nodes);
-            return answer;
+            return apply(file.change(node, inMaintenance)).thenApply(applied -> answer);
         } catch (IOException e) {
             LOG.warning("maintenance file not written: " + e.getMessage());
-            return answer + "; not kept for the next process: " + e.getMessage();
+            return CompletableFuture.completedFuture(answer + "; not kept for the next process: " + e.getMessage());
         }
     }
 
-    /** Applies the maintenance file to the router if another process has changed it. */
+    /**
+     * Applies the maintenance file to the router if another process has changed it; not while a change is on its way from
+     * the router to the file, which does not have it yet.
+     */
     private void applyFileChange() {
-        Set<String> nodes = file.readChange();
+        Set<String> nodes = openChanges > 0 ? null : file.readChange();
         if (nodes != null) {
-            scheduler.onLoop(router -> {
-                router.setNodesInMaintenance(nodes);
-                return null;
-            });
+            apply(nodes);
         }
     }
+
+    private CompletionStage<Void> apply(Set<String> nodes) {
+        return scheduler.onLoop(router -> {
+            router.setNodesInMaintenance(nodes);
+            return null;
+        });
+    }
 }
