--- a/src/main/java/kelphollow/protocol/object/DemandQueue.java
+++ b/src/main/java/kelphollow/protocol/object/DemandQueue.java
@@ -12,8 +12,8 @@
 
 /**
  * Delivers the messages of a connection one per demand. A single read may yield a head and its body; the queue holds back
- * the body until the node takes it, so that undemanded bodies do not pile up in memory. What it holds is copied to the heap,
- * so that receive buffers are not kept, and counted in {@link ClientMemory}. The receiver owns a message once it is
+ * the body until the node takes it, so that undemanded bodies do not pile up in memory. What it queues is copied to the heap,
+ * so that receive buffers return to their pool, and counted in {@link ClientMemory}. The receiver owns a message once it is
  * delivered. Confined to the event loop.
  */
 final class DemandQueue {
@@ -26,7 +26,7 @@
     private final ClientMemory memory;
     private final Consumer<Object> receiver;
     private final ArrayDeque<Object> messages = new ArrayDeque<>();
-    private long heldBytes;
+    private long queuedBytes;
     private boolean demanded;
     /** Whether a message is being delivered, or {@link #withDeliveryDeferred} holds deliveries back. */
     private boolean delivering;
@@ -48,21 +48,21 @@
                 delivering = false;
             }
         } else {
-            hold(message);
+            enqueue(message);
         }
         deliver();
     }
 
-    private void hold(Object message) {
-        Object held = message;
+    private void enqueue(Object message) {
+        Object queued = message;
         if (message instanceof HttpContent content && content.content().isReadable()) {
             ByteBuf copy = Unpooled.copiedBuffer(content.content());
-            held = content.replace(copy);
+            queued = content.replace(copy);
             content.release();
         }
-        messages.add(held);
-        heldBytes += size(held);
-        memory.add(size(held));
+        messages.add(queued);
+        queuedBytes += size(queued);
+        memory.add(size(queued));
     }
 
     private static long size(Object message) {
@@ -74,7 +74,7 @@
 
     private Object remove() {
         Object message = messages.remove();
-        heldBytes -= size(message);
+        queuedBytes -= size(message);
         memory.release(size(message));
         return message;
     }
@@ -97,7 +97,7 @@
 
     /** Whether memory allows reading messages that are not demanded yet. */
     boolean mayReadAhead() {
-        return memory.mayReadAhead(heldBytes);
+        return memory.mayReadAhead(queuedBytes);
     }
 
     /** Runs a task; messages that it demands are delivered after it ends. */
--- a/src/main/java/kelphollow/protocol/object/ObjectConnection.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectConnection.java
@@ -19,6 +19,8 @@
 final class ObjectConnection extends ChannelInboundHandlerAdapter {
     /** Time after which reading ahead is tried again once memory did not allow it. */
     private static final double READ_AHEAD_RETRY_MS = 50;
+    /** A client that sends its body slowly must not wait until it has sent all that may be read ahead. */
+    private static final double MAX_BEGIN_DELAY_MS = 100;
 
     private final ObjectFront front;
     private final ObjectServices services;
@@ -30,8 +32,10 @@
     private HttpRequest next;
     /** Whether the current read has yielded a message. */
     private boolean readMessage;
-    /** Whether anything was read since {@link #scheduleBegin} was called last. */
+    /** Whether anything was read since {@link #readBeforeBegin} was called last. */
     private boolean readSinceScheduled;
+    /** Clock time at which the next request begins, even if its body still arrives. */
+    private double beginBy;
     private boolean readAheadScheduled;
     /** Whether the connection closes or is closed; how it is read is no longer changed here. */
     private boolean closing;
@@ -135,9 +139,14 @@
     /**
      * Begins the next request once a further read yields nothing, which detects a client that disconnected right after its
      * request: the request of such a client must not be forwarded. What these reads yield stays queued until demanded. If
-     * it is more than may be read ahead, the request begins without the rest.
+     * it is more than may be read ahead, or arrives for too long, the request begins without the rest.
      */
     private void scheduleBegin() {
+        beginBy = services.now() + MAX_BEGIN_DELAY_MS;
+        readBeforeBegin();
+    }
+
+    private void readBeforeBegin() {
         readSinceScheduled = false;
         updateReadAhead();
         channel.read();
@@ -146,8 +155,8 @@
             if (next == null || current != null || !channel.isActive()) {
                 return;
             }
-            if (readSinceScheduled && inbound.mayReadAhead()) {
-                scheduleBegin();
+            if (readSinceScheduled && inbound.mayReadAhead() && services.now() < beginBy) {
+                readBeforeBegin();
                 return;
             }
             HttpRequest request = next;
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -40,7 +40,7 @@
      * Creates a front whose connections are handed over by {@link #accept}.
      *
      * @param ledger null without persistence; otherwise its records are loaded
-     * @param clientMemory bounds what clients hold while their requests wait
+     * @param clientMemory bounds what clients occupy while their requests wait
      * @throws IOException if the ledger cannot be read
      * @throws StoreFault if the ledger's store is damaged or closed
      */
--- a/src/main/java/kelphollow/protocol/object/ObjectServices.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectServices.java
@@ -7,7 +7,7 @@
 /**
  * Services shared by the exchanges of the object API.
  *
- * @param clientMemory bounds what clients hold while their requests wait
+ * @param clientMemory bounds what clients occupy while their requests wait
  * @param startedAt when this incarnation started, in milliseconds on the ticker's clock
  */
 record ObjectServices(RequestRouter router, Ticker ticker, ObjectOptions options, ObjectRequestMapper mapper,
--- a/src/main/java/kelphollow/protocol/resp/CommandMemory.java
+++ b/src/main/java/kelphollow/protocol/resp/CommandMemory.java
@@ -3,7 +3,7 @@
 import kelphollow.transport.ClientMemory;
 
 /**
- * The bytes that one connection's commands hold: first as an incomplete command, then as an accepted one until its reply.
+ * The bytes that one connection's commands occupy: first as an incomplete command, then as an accepted one until its reply.
  * The two have separate bounds, so that clients with incomplete commands cannot keep complete ones out. Confined to the
  * event loop.
  */
@@ -34,12 +34,7 @@
         }
     }
 
-    /** Whether an incomplete command holds bytes. */
-    boolean hasIncomplete() {
-        return incompleteBytes > 0;
-    }
-
-    /** The incomplete command is complete or discarded. Returns the bytes that it held. */
+    /** The incomplete command is complete or discarded. Returns the bytes that it occupied. */
     int endIncomplete() {
         int bytes = incompleteBytes;
         incompleteBytes = 0;
@@ -52,7 +47,7 @@
         return bounds.accepted().tryAdd(bytes);
     }
 
-    /** An accepted command's bytes are no longer held. */
+    /** An accepted command's bytes are free again. */
     void release(int bytes) {
         bounds.accepted().release(bytes);
     }
--- a/src/main/java/kelphollow/protocol/resp/ReplySlot.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplySlot.java
@@ -18,8 +18,8 @@
     private String id;
     /** Whether the request is included in the connection's number of open requests. */
     private boolean countedAsOpen;
-    /** Bytes of the command that are counted as held until the slot is finished. */
-    private int heldBytes;
+    /** Bytes of the command that count as occupied until the slot is finished. */
+    private int countedBytes;
     private RedisMessage reply;
     private StreamedValue value;
 
@@ -34,18 +34,18 @@
         id = openId;
     }
 
-    /** Counts the command's bytes as held until the slot is finished; returns false if they do not fit. */
-    boolean hold(int bytes) {
+    /** Counts the command's bytes as occupied until the slot is finished; returns false if they do not fit. */
+    boolean countMemory(int bytes) {
         if (connection.memory().accept(bytes)) {
-            heldBytes = bytes;
+            countedBytes = bytes;
             return true;
         }
         return false;
     }
 
-    private void releaseHeld() {
-        connection.memory().release(heldBytes);
-        heldBytes = 0;
+    private void releaseMemory() {
+        connection.memory().release(countedBytes);
+        countedBytes = 0;
     }
 
     /** Submits the request to the router, which may reply before this returns. */
@@ -86,7 +86,7 @@
         }
         request = null;
         intake.release(id);
-        releaseHeld();
+        releaseMemory();
         connection.flushReplies();
     }
 
@@ -132,7 +132,7 @@
     /** Cancels the request and discards its value, because the client has disconnected. */
     void disconnected() {
         intake.release(id);
-        releaseHeld();
+        releaseMemory();
         if (request != null) {
             router.clientDisconnected(request);
             request = null;
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -31,7 +31,7 @@
     private static final int MAX_PENDING_REPLIES = 4_096;
     private static final int MAX_ERROR_LENGTH = 200;
 
-    /** A decoded message and the bytes that it holds; null in place of one that was rejected for lack of memory. */
+    /** A decoded message and the bytes that it occupies; null in place of one that was rejected for lack of memory. */
     private record DecodedCommand(RedisMessage message, int bytes) {
         private static final DecodedCommand REJECTED = new DecodedCommand(null, 0);
 
@@ -198,7 +198,7 @@
             return;
         }
         slot.reserve(command.idText());
-        if (openRequests >= MAX_OPEN_REQUESTS || !slot.hold(bytes)) {
+        if (openRequests >= MAX_OPEN_REQUESTS || !slot.countMemory(bytes)) {
             slot.rejected(0, false);
         } else {
             slot.submit(arrival, command);
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -40,7 +40,7 @@
      * Creates a front.
      *
      * @param maxConnections how many connections may be open, not counting those in a lingering close
-     * @param memory what the commands of all connections may hold
+     * @param memory what the commands of all connections may occupy
      */
     public RespFront(RequestRouter router, Ticker ticker, ControlSettings settings, int maxConnections,
         ClientMemory memory) {
@@ -131,7 +131,7 @@
         return memory;
     }
 
-    /** The connection's incomplete command holds more bytes; the longest incomplete ones are evicted until all fit. */
+    /** The connection's incomplete command occupies more bytes; the longest incomplete ones are evicted until all fit. */
     void commandIncomplete(RespConnection connection) {
         incomplete.add(connection);
         while (memory.incomplete().isExceeded()) {
--- a/src/main/java/kelphollow/transport/ClientMemory.java
+++ b/src/main/java/kelphollow/transport/ClientMemory.java
@@ -1,21 +1,21 @@
 package kelphollow.transport;
 
 /**
- * Bounds the memory that all clients of a front hold together with requests that are incomplete or wait to be forwarded.
+ * Bounds the memory that all clients of a front occupy together with requests that are incomplete or wait to be forwarded.
  * Without it, clients that stop in the middle of a request use up the JVM's buffers, and the event loop stands still in
  * their allocation. What is counted lies on the heap, in arrays of its own size: receive buffers return to their pool after
  * each read. Both fronts take their bounds from here. Confined to the event loop.
  */
 public final class ClientMemory {
-    /** Clients may hold one in this many bytes of the heap. */
+    /** Clients may occupy one in this many bytes of the heap. */
     private static final long HEAP_PER_CAPACITY = 4;
-    /** One client may hold one in this many bytes of the capacity ahead of demand. */
+    /** One client may occupy one in this many bytes of the capacity ahead of demand. */
     private static final long CAPACITY_PER_CLIENT = 16;
 
     private final long capacity;
-    private long held;
+    private long occupied;
 
-    /** {@code capacity}: bytes that all clients may hold together. */
+    /** {@code capacity}: bytes that all clients may occupy together. */
     public ClientMemory(long capacity) {
         this.capacity = capacity;
     }
@@ -25,42 +25,37 @@
         return new ClientMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_CAPACITY);
     }
 
-    /** Returns a separate bound of half the capacity, for a front that holds bytes for two purposes. */
+    /** Returns a separate bound of half the capacity, for a front that counts bytes for two purposes. */
     public ClientMemory half() {
         return new ClientMemory(capacity / 2);
     }
 
-    /** Counts bytes that have arrived and are held in any case; {@link #isExceeded} tells if they are too many. */
+    /** Counts bytes that have arrived and cannot be refused any more; {@link #isExceeded} tells if they are too many. */
     public void add(long bytes) {
-        held += bytes;
+        occupied += bytes;
     }
 
     /** Counts the bytes and returns true if they fit, else returns false and counts nothing. */
     public boolean tryAdd(long bytes) {
-        if (held + bytes > capacity) {
+        if (occupied + bytes > capacity) {
             return false;
         }
-        held += bytes;
+        occupied += bytes;
         return true;
     }
 
-    /** The bytes are no longer held. */
+    /** The bytes are free again. */
     public void release(long bytes) {
-        held -= bytes;
+        occupied -= bytes;
     }
 
-    /** Bytes held now. */
-    public long held() {
-        return held;
-    }
-
-    /** Whether the clients hold more than the capacity. */
+    /** Whether the clients occupy more than the capacity. */
     public boolean isExceeded() {
-        return held > capacity;
+        return occupied > capacity;
     }
 
-    /** Whether a client that holds {@code heldByClient} bytes ahead of demand may be read further. */
-    public boolean mayReadAhead(long heldByClient) {
-        return held < capacity && heldByClient < capacity / CAPACITY_PER_CLIENT;
+    /** Whether a client that occupies {@code queuedBytes} bytes ahead of demand may be read further. */
+    public boolean mayReadAhead(long queuedBytes) {
+        return occupied < capacity && queuedBytes < capacity / CAPACITY_PER_CLIENT;
     }
 }
