--- a/src/main/java/kelphollow/protocol/object/DemandQueue.java
+++ b/src/main/java/kelphollow/protocol/object/DemandQueue.java
@@ -12,9 +12,9 @@
 
 /**
  * Delivers the messages of a connection one per demand. A single read may yield a head and its body; the queue holds back
- * the body until the node takes it, so that undemanded bodies do not pile up in memory. What it queues is copied to the heap,
- * so that receive buffers return to their pool, and counted in {@link ClientMemory}. The receiver owns a message once it is
- * delivered. Confined to the event loop.
+ * the body until the node takes it, so that undemanded bodies do not pile up in memory. What it queues is copied to the
+ * heap, so that receive buffers return to their pool, and counted in {@link ClientMemory}. The receiver owns a message once
+ * it is delivered. Confined to the event loop.
  */
 final class DemandQueue {
     /** Counted for each message beside its content. */
