Log what is handed over and taken over in an upgrade, and what is sent afterwards

Change: one line each for handing over, taking over and a predecessor that ended without; attempts after the hand-over are logged at a bounded rate and counted. No behaviour changes.

--- a/src/main/java/kelphollow/program/GracefulShutdown.java
+++ b/src/main/java/kelphollow/program/GracefulShutdown.java
@@ -58,7 +58,7 @@
 
     private void handOverLimits() {
         try {
-            management.handover().handOver(scheduler.onLoop(RequestRouter::limitTokens).get(LIMITS_TIMEOUT_MS,
+            management.handover().handOver(scheduler.onLoop(RequestRouter::handOverLimits).get(LIMITS_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -84,18 +84,28 @@
             Path left = handoverFile(process);
             if (Files.exists(left)) {
                 try {
-                    return LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
+                    Map<String, Double> tokens = LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
+                    LOG.info(() -> "process " + pid + " takes over the limits of process " + process + ": "
+                        + summary(tokens));
+                    return tokens;
                 } catch (IOException | IllegalArgumentException e) {
                     LOG.fine(() -> "handover file " + left + " is not complete yet: " + e.getMessage());
                 }
             } else if (!isFresh(aliveFile(process))) {
+                LOG.warning(() -> "process " + process + " has ended without handing over its limits");
                 return Map.of();
             }
             Thread.sleep(POLL_INTERVAL_MS);
         }
+        LOG.warning(() -> "process " + process + " has not handed over its limits within " + (long) timeout + " ms");
         return Map.of();
     }
 
+    private static String summary(Map<String, Double> tokens) {
+        double units = tokens.values().stream().mapToDouble(Double::doubleValue).sum();
+        return tokens.size() + " volumes, " + Math.round(units) + " units";
+    }
+
     /** Writes the tokens of this process's limits for the next process; called once no new clients are accepted. */
     void handOver(Map<String, Double> tokens) {
         Path temporary = folder.resolve(TEMPORARY_NAME);
@@ -103,6 +113,7 @@
             Files.writeString(temporary, LimitHandoverFile.text(tokens), StandardCharsets.US_ASCII);
             Files.move(temporary, handoverFile(pid), StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
+            LOG.info(() -> "process " + pid + " has handed over its limits: " + summary(tokens));
         } catch (IOException e) {
             LOG.warning("tokens of volume limits not handed over: " + e.getMessage());
         }
--- a/src/main/java/kelphollow/routing/RequestCounters.java
+++ b/src/main/java/kelphollow/routing/RequestCounters.java
@@ -21,6 +21,8 @@
     private final Map<SendVerdict, Long> notSent = new EnumMap<>(SendVerdict.class);
     /** Attempts sent, by the state of the lease on the endpoint list. */
     private final Map<EndpointListLease.State, Long> sent = new EnumMap<>(EndpointListLease.State.class);
+    /** Of the attempts sent, those sent after the limits were handed over to the next process. */
+    private long sentAfterHandover;
 
     void submitted() {
         submitted++;
@@ -62,10 +64,14 @@
         sent.merge(state, 1L, Long::sum);
     }
 
+    void sentAfterHandover() {
+        sentAfterHandover++;
+    }
+
     /** All counters as one log line. */
     String summary() {
         return "requests: submitted=" + submitted + " served=" + served + " disconnected=" + clientsDisconnected
             + " overdue=" + overdue + " rejected=" + rejected + " failed=" + failed + "; attempts: ended=" + attempts
-            + " retries=" + retries + " not sent=" + notSent + " sent=" + sent;
+            + " retries=" + retries + " not sent=" + notSent + " sent=" + sent + " after handover=" + sentAfterHandover;
     }
 }
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -21,10 +21,13 @@
     private final Collection<Request> open;
     private final EndpointListLease lease;
     private boolean disabled;
+    /** Whether the limits were handed over to the next process. */
+    private boolean handedOver;
     private final RequestCounters counters = new RequestCounters();
     private final RateLimitedLog notSent = new RateLimitedLog(LOG);
     private final RateLimitedLog unconfirmed = new RateLimitedLog(LOG);
     private final RateLimitedLog overdue = new RateLimitedLog(LOG);
+    private final RateLimitedLog afterHandover = new RateLimitedLog(LOG);
 
     /** {@code open}: a view of the requests that have no final response yet. */
     RequestLog(Ticker ticker, Collection<Request> open, EndpointListLease lease) {
@@ -105,6 +108,11 @@
         counters.attemptEnded(outcome);
     }
 
+    /** The limits were handed over to the next process; attempts sent from now on are logged and counted apart. */
+    void limitsHandedOver() {
+        handedOver = true;
+    }
+
     /** Logs the verdict on the first byte of an attempt whose connection is established. */
     void eligibilityChecked(Attempt attempt, SendVerdict verdict) {
         if (disabled) {
@@ -119,6 +127,11 @@
         }
         EndpointListLease.State state = lease.state(now);
         counters.sent(state);
+        if (handedOver) {
+            counters.sentAfterHandover();
+            afterHandover.info(now, () -> attempt + " of volume " + attempt.request().arrival().volume() + ", "
+                + attempt.request().arrival().units() + " units, is sent after the limits were handed over");
+        }
         if (state != EndpointListLease.State.CURRENT) {
             unconfirmed.info(now, () -> attempt + " is sent with an unconfirmed endpoint list: " + state);
         }
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -86,6 +86,12 @@
         decisions.handle(new LimitsRestored(tokens));
     }
 
+    /** Returns the tokens left of volumes' limits, by volume, for the process that replaces this one. */
+    public Map<String, Double> handOverLimits() {
+        log.limitsHandedOver();
+        return control.limitTokens();
+    }
+
     /** The tokens left of volumes' limits, by volume. */
     public Map<String, Double> limitTokens() {
         return control.limitTokens();
