--- a/src/main/java/kelphollow/lab/soak/ListKnowledge.java
+++ b/src/main/java/kelphollow/lab/soak/ListKnowledge.java
@@ -10,6 +10,7 @@
 import kelphollow.lab.soak.SoakHistory.ListChanged;
 import kelphollow.lab.soak.SoakHistory.ListWritten;
 import kelphollow.lab.soak.SoakHistory.Outage;
+import kelphollow.lab.soak.SoakHistory.Upgrade;
 import kelphollow.lab.soak.SoakHistory.WatchSilent;
 
 /**
@@ -21,6 +22,8 @@
     static final double NOTIFIED_AFTER_MS = 6_000;
     /** Time after a move of discovery from which earlier changes count as notified. */
     static final double MOVE_NOTIFIED_AFTER_MS = 4_000;
+    /** Time after the new process of an upgrade was ready from which what discovery writes to either process binds. */
+    static final double BINDING_AFTER_READY_MS = 2_000;
     /** Returned instead of a version when none counts as notified, or none was written, by the time asked for. */
     static final long NONE = -1;
 
@@ -35,6 +38,7 @@
     private final List<WatchSilent> silentWatches;
     private final List<Incarnation> incarnations;
     private final List<Outage> outages;
+    private final List<Upgrade> upgrades;
     private final Map<ProcessRun, double[]> notifiedFrom = new HashMap<>();
 
     /** {@code slack} is the delay that the machine of the run may have added. */
@@ -46,13 +50,28 @@
         this.moves = history.all(DiscoveryMoved.class);
         this.silentWatches = history.all(WatchSilent.class);
         this.incarnations = history.all(Incarnation.class);
+        this.upgrades = history.all(Upgrade.class);
         this.outages = history.all(Outage.class).stream().sorted(Comparator.comparingDouble(Outage::from)).toList();
     }
 
-    /** Returns the start time of the process that an instance ran at that time. */
+    /**
+     * Returns the start time of the process that an instance ran at that time; the processes of an upgrade count as one,
+     * started with the first.
+     */
     double processStartedAt(int instance, double at) {
-        return incarnations.stream().filter(process -> process.instance() == instance && process.from() <= at)
+        double latest = incarnations.stream().filter(process -> process.instance() == instance && process.from() <= at)
             .mapToDouble(Incarnation::from).max().orElse(0);
+        boolean replaced = upgrades.stream()
+            .anyMatch(upgrade -> upgrade.instance() == instance && upgrade.startedAt() == latest);
+        return replaced ? processStartedAt(instance, Math.nextDown(latest)) : latest;
+    }
+
+    /** Returns when a written version binds: at once, or during an upgrade some time after the new process is ready. */
+    private double bindsFrom(ListWritten write) {
+        return upgrades.stream()
+            .filter(upgrade -> upgrade.instance() == write.instance() && upgrade.startedAt() <= write.at())
+            .mapToDouble(upgrade -> Math.max(write.at(), upgrade.readyAt() + BINDING_AFTER_READY_MS)).min()
+            .orElse(write.at());
     }
 
     /** Returns the newest version that the process counts as notified of at that time by any rule, or {@link #NONE}. */
@@ -96,7 +115,7 @@
         double written = writes.stream()
             .filter(write -> write.instance() == process.instance && write.at() >= process.from
                 && write.version() >= change.version())
-            .mapToDouble(ListWritten::at).min().orElse(Double.POSITIVE_INFINITY);
+            .mapToDouble(this::bindsFrom).min().orElse(Double.POSITIVE_INFINITY);
         boolean atOnce = pushed && !isSilent(process.instance, change.at());
         double byAge = reachableFor(change.at(), atOnce ? 0 : NOTIFIED_AFTER_MS);
         double byMove = Double.POSITIVE_INFINITY;
--- a/src/main/java/kelphollow/program/SoakCommand.java
+++ b/src/main/java/kelphollow/program/SoakCommand.java
@@ -26,6 +26,9 @@
     @Option(name = "--seconds", metaVar = "S", usage = "how long the faults go on")
     private int seconds = 40;
 
+    @Option(name = "--variant", metaVar = "V", usage = "RESTARTS, UPGRADES or UPGRADES_WITH_CROWD")
+    private Soak.Variant variant = Soak.Variant.RESTARTS;
+
     @Option(name = "--report", metaVar = "DIR", usage = "a folder for what the processes leave")
     private String report;
 
@@ -34,7 +37,7 @@
         int broken = 0;
         for (long next = seed; next < seed + seeds; next++) {
             Soak.Plan plan = new Soak.Plan(next, instances, nodes, seconds, next % PUSHED_EVERY == 0);
-            broken += Soak.run(plan, folder.resolve("seed-" + next), out) == Soak.PASS ? 0 : 1;
+            broken += Soak.run(plan, variant, folder.resolve("seed-" + next), out) == Soak.PASS ? 0 : 1;
         }
         out.println(seeds + " seeds, " + broken + " with a broken rule");
         return broken == 0 ? 0 : 1;
--- a/src/test/java/kelphollow/lab/soak/SoakCheckerTest.java
+++ b/src/test/java/kelphollow/lab/soak/SoakCheckerTest.java
@@ -13,6 +13,7 @@
 import kelphollow.lab.soak.SoakHistory.Outcome;
 import kelphollow.lab.soak.SoakHistory.RequestEnded;
 import kelphollow.lab.soak.SoakHistory.RequestSent;
+import kelphollow.lab.soak.SoakHistory.Upgrade;
 import org.junit.jupiter.api.Test;
 
 /** Checks that each breach added to a history is reported, and that the history without it has none. */
@@ -100,6 +101,41 @@
         assertEquals(List.of("lost"), brokenRules(), "the kill excuses the second request");
     }
 
+    @Test void requestSentLaterThanThePlatformAllowsAfterSigtermMustBeAnsweredBeforeTheKill() {
+        history.add(new Incarnation(3, 0, 50_000, 53_700, true, 137));
+        history.add(new RequestSent(50_600, "early", 3, false, 3_000));
+        history.add(new RequestEnded(53_710, "early", Outcome.NO_ANSWER));
+        assertEquals(List.of(), brokenRules());
+        history.add(new RequestSent(50_800, "late", 3, false, 2_500));
+        history.add(new RequestEnded(53_710, "late", Outcome.NO_ANSWER));
+        assertEquals(List.of("lost"), brokenRules());
+    }
+
+    @Test void listWrittenDuringAnUpgradeBindsBothProcessesTwoSecondsAfterTheNewOneIsReady() {
+        history.add(new Incarnation(0, 10_500, NEVER, NEVER, false, 0));
+        history.add(new Upgrade(0, 10_500, 11_700));
+        history.add(new ListWritten(11_000, 0, 2));
+        addServedRead("grace", 13_999);
+        assertEquals(List.of(), brokenRules());
+        addServedRead("bound", 14_000);
+        assertEquals(List.of("drain"), brokenRules());
+    }
+
+    @Test void limitOfAVolumeIsOneStoreForAllInstances() {
+        addLimited("first", 1, 5_000, 30);
+        addLimited("second", 2, 5_050, 15);
+        assertEquals(List.of(), brokenRules(), "36 units at once, 6 of tolerance, and 20 a second for 0.15 s");
+        addLimited("third", 1, 5_060, 2);
+        assertEquals(List.of("limit"), brokenRules());
+    }
+
+    private void addLimited(String id, int instance, double at, double units) {
+        history.add(new RequestSent(at - 5, id, instance, false, 1_200, "limited", units));
+        history.add(new AttemptArrived(at, "b", id, 1_190, true));
+        history.add(new AttemptArrived(at + 1, "b", id, 1_189, true));
+        history.add(new RequestEnded(at + 20, id, Outcome.SERVED));
+    }
+
     @Test void requestThatMustRunOnceMayNeitherRunTwiceNorBeRejectedAfterRunning() {
         history.add(new RequestSent(1_000, "w", 0, true, 3_000));
         history.add(new AttemptArrived(1_010, "a", "w", 2_900, false));
