Compute decisions with StrictMath, so that they are the same on arm64 and x86-64

Seen: RecordedDecisionsTest fails on arm64 on untouched, from event 2,500 to 6,500 on; the checkpoints before match those recorded. Cause: Math.exp, log and pow may differ in the last bit between processors; the module uses them at four places, the recorded workload at two. The test is as strict as before: all bits, all events. StrictMath is defined to give the same bits everywhere; a run on x86-64 was not possible here.

--- a/src/main/java/kelphollow/decision/DecayingLatency.java
+++ b/src/main/java/kelphollow/decision/DecayingLatency.java
@@ -30,7 +30,7 @@
 
     /** The average at time {@code now}, decayed toward {@code other} according to its age. */
     double decayedToward(double other, double now) {
-        return other + (value - other) * Math.exp(-(now - sampledAt) / DECAY_MS);
+        return other + (value - other) * StrictMath.exp(-(now - sampledAt) / DECAY_MS);
     }
 
     /** The average at the time of its last sample, without decay. */
--- a/src/main/java/kelphollow/decision/LatencyEstimate.java
+++ b/src/main/java/kelphollow/decision/LatencyEstimate.java
@@ -80,7 +80,7 @@
     }
 
     private void updateBest(double now) {
-        best += (mean - best) * (1 - Math.exp(-(now - bestAt) / BEST_TIME_CONSTANT_MS));
+        best += (mean - best) * (1 - StrictMath.exp(-(now - bestAt) / BEST_TIME_CONSTANT_MS));
         if (!(best <= mean)) {     // also true for the first answer, where best has become NaN
             best = mean;
         }
--- a/src/main/java/kelphollow/decision/NodeHealth.java
+++ b/src/main/java/kelphollow/decision/NodeHealth.java
@@ -113,7 +113,7 @@
         }
         state = State.UNRESPONSIVE;
         failures++;
-        double backoff = BASE_BACKOFF_MS * Math.pow(2, Math.min(failures, MAX_DOUBLINGS));
+        double backoff = BASE_BACKOFF_MS * StrictMath.pow(2, Math.min(failures, MAX_DOUBLINGS));
         sendableAt = now + Math.min(PROBE_INTERVAL_MS, backoff);
         return true;
     }
--- a/src/main/java/kelphollow/decision/UsageShare.java
+++ b/src/main/java/kelphollow/decision/UsageShare.java
@@ -28,7 +28,7 @@
      * @param rate rate of the volume's plan, units per second
      */
     void reported(double now, double unitsElsewhere, double usagePercent, double rate) {
-        double kept = Math.exp(-(now - decayedAt) / DECAY_MS);
+        double kept = StrictMath.exp(-(now - decayedAt) / DECAY_MS);
         own *= kept;
         elsewhere = elsewhere * kept + unitsElsewhere;
         decayedAt = now;
--- a/src/test/java/kelphollow/decision/DecisionWorkload.java
+++ b/src/test/java/kelphollow/decision/DecisionWorkload.java
@@ -145,7 +145,7 @@
     // ---------------------------------------------------------------- clients
 
     private void arrive() {
-        at(-Math.log(1 - random.nextDouble()) * 1_000 / arrivalsPerSecond, this::arrive);
+        at(-StrictMath.log(1 - random.nextDouble()) * 1_000 / arrivalsPerSecond, this::arrive);
         request(false, null);
         if (random.nextInt(200) == 0) {
             for (int i = 0; i < 30; i++) {
@@ -157,7 +157,7 @@
     private void request(boolean retry, RequestArrived earlier) {
         String id = "r" + requests++;
         RequestClass kind = settings.classes().get(random.nextInt(settings.classes().size()));
-        int volume = (int) (VOLUMES * Math.pow(random.nextDouble(), 2));
+        int volume = (int) (VOLUMES * StrictMath.pow(random.nextDouble(), 2));
         Plan plan = settings.plans().get(volume % settings.plans().size());
         boolean newObject = random.nextInt(8) == 0;
         double deadline = now + kind.deadline() * (retry ? 0.5 : 1);
--- a/src/test/java/kelphollow/decision/RecordedDecisionsTest.java
+++ b/src/test/java/kelphollow/decision/RecordedDecisionsTest.java
@@ -16,9 +16,10 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Compares the module's decisions with those recorded on commit 968e9fd: every bit of each number and the order of the
- * random draws must match. A change that is meant to keep behaviour must not update the recordings. To locate a difference,
- * compare the traces that the two builds write to {@code target/decisions}.
+ * Compares the module's decisions with recorded ones: every bit of each number and the order of the random draws must match,
+ * on every processor, so the module and the workload use {@link StrictMath}. A change that is meant to keep behaviour must
+ * not update the recordings. To locate a difference, compare the traces that the two builds write to
+ * {@code target/decisions}.
  */
 class RecordedDecisionsTest {
     private static final Path RECORDINGS = Path.of("src/test/resources/decisions");
