Let only one process of an upgrade own a limit's tokens

Cause: the old process wrote its tokens for the next one and went on spending and refilling its own (VolumeTable.limitTokens is a query). Change: LimitHandover. At the hand-over the old process keeps the tokens of queued requests that it can send, rejects the others of limited volumes at once, and gives up the rest with all refill; volumes that it sees first afterwards have none. If the event loop is late the hand-over waits for it, in place of an empty one after 0.5 s, which told the next process that nothing was spent.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -89,6 +89,11 @@
         return state.volumes.limitTokens();
     }
 
+    /** Tokens that {@link ControlEvent.LimitsHandedOver} gave up for the next process, by volume; null before it. */
+    public Map<String, Double> handedOverLimits() {
+        return state.volumes.handedOver();
+    }
+
     /** Nodes that this instance itself found unresponsive, with the number of probes sent to each since. */
     public Map<String, Integer> unresponsiveNodes() {
         return state.nodes.unresponsive();
--- a/src/main/java/kelphollow/decision/ControlEvent.java
+++ b/src/main/java/kelphollow/decision/ControlEvent.java
@@ -165,6 +165,26 @@
         }
     }
 
+    /**
+     * An earlier process that this one replaces has ended without handing over its rate limits. What it spent is unknown, so
+     * the limits refill from now on only.
+     */
+    record LimitsNotHandedOver() implements ControlEvent {
+        @Override public void accept(Handler handler) {
+            handler.limitsNotHandedOver(this);
+        }
+    }
+
+    /**
+     * This process hands its rate limits over to the process that replaces it. It keeps the tokens of queued requests that
+     * it can still send; everything else of a limited volume is rejected from now on.
+     */
+    record LimitsHandedOver() implements ControlEvent {
+        @Override public void accept(Handler handler) {
+            handler.limitsHandedOver(this);
+        }
+    }
+
     /**
      * A request has arrived.
      *
@@ -273,6 +293,12 @@
         /** Handles {@link LimitsRestored}. */
         void limitsRestored(LimitsRestored event);
 
+        /** Handles {@link LimitsNotHandedOver}. */
+        void limitsNotHandedOver(LimitsNotHandedOver event);
+
+        /** Handles {@link LimitsHandedOver}. */
+        void limitsHandedOver(LimitsHandedOver event);
+
         /** Handles {@link RequestArrived}. */
         void requestArrived(RequestArrived event);
 
--- a/src/main/java/kelphollow/decision/EventHandler.java
+++ b/src/main/java/kelphollow/decision/EventHandler.java
@@ -8,6 +8,8 @@
 import kelphollow.decision.ControlEvent.EndpointPollFailure;
 import kelphollow.decision.ControlEvent.EndpointSourceChanged;
 import kelphollow.decision.ControlEvent.EndpointsReceived;
+import kelphollow.decision.ControlEvent.LimitsHandedOver;
+import kelphollow.decision.ControlEvent.LimitsNotHandedOver;
 import kelphollow.decision.ControlEvent.LimitsRestored;
 import kelphollow.decision.ControlEvent.NodesSuspected;
 import kelphollow.decision.ControlEvent.RequestArrived;
@@ -26,6 +28,7 @@
     private final DeadlineMonitor deadlines;
     private final RequestArrivals arrivals;
     private final AttemptCompletions completions;
+    private final LimitHandover limitHandover;
 
     EventHandler(SchedulerState state, EndpointPollSchedule pollSchedule, WakeTimer wakeTimer,
         FinalAnswers answers, DeadlineMonitor deadlines) {
@@ -36,6 +39,7 @@
         this.deadlines = deadlines;
         this.arrivals = new RequestArrivals(state, answers);
         this.completions = new AttemptCompletions(state, answers);
+        this.limitHandover = new LimitHandover(state, answers);
     }
 
     @Override public void requestArrived(RequestArrived event) {
@@ -108,6 +112,14 @@
         state.volumes.restore(event.tokens());
     }
 
+    @Override public void limitsNotHandedOver(LimitsNotHandedOver event) {
+        state.volumes.refillFrom(state.now());
+    }
+
+    @Override public void limitsHandedOver(LimitsHandedOver event) {
+        limitHandover.handOver();
+    }
+
     @Override public void shutdownStarted(ShutdownStarted event) {
         deadlines.shutDownAt(event.deadline());
     }
--- a/src/main/java/kelphollow/decision/RateLimiter.java
+++ b/src/main/java/kelphollow/decision/RateLimiter.java
@@ -28,6 +28,8 @@
     private double refilledAt;
     private double unitsPerMs;
     private double burst;
+    /** Whether the limit was handed over to the next process: it is not refilled here any more. */
+    private boolean handedOver;
 
     /**
      * Creates a bucket that refills from {@code startedAt} on.
@@ -65,9 +67,22 @@
         refilledAt = now;
     }
 
+    /**
+     * Hands the limit over to the next process, with all tokens but {@code kept}, which this process may still use.
+     *
+     * @return the tokens for the next process
+     */
+    double handOver(double kept, double now) {
+        double left = tokensNetOfBorrowed(now) - kept;
+        handedOver = true;
+        tokens = kept;
+        borrowed = 0;
+        return left;
+    }
+
     /** Adds the tokens refilled since the last call, less the repayment, and returns the tokens. */
     private double refill(double now) {
-        double refilled = (now - refilledAt) * unitsPerMs;
+        double refilled = handedOver ? 0 : (now - refilledAt) * unitsPerMs;
         double repayment = Math.min(borrowed, REPAYMENT_SHARE * refilled);
         borrowed -= repayment;
         tokens = Math.min(burst - borrowed, tokens + refilled - repayment);
@@ -92,17 +107,20 @@
         }
     }
 
-    /** Milliseconds until the bucket holds this many units, with the repayment in the meantime included. */
+    /**
+     * Milliseconds until the bucket holds this many units, with the repayment in the meantime included; 0 if the limit was
+     * handed over, since the next process may hold them.
+     */
     double waitFor(double units, double now) {
-        if (allows(units, now)) {
+        if (handedOver || allows(units, now)) {
             return 0;
         }
         double missing = units - tokens;
         return (missing + Math.min(borrowed, missing * REPAYMENT_SHARE / (1 - REPAYMENT_SHARE))) / unitsPerMs;
     }
 
-    /** Whether the bucket will hold this many units only after {@code time}. */
+    /** Whether the bucket will hold this many units for another request only after {@code time}, or never again. */
     boolean holdsOnlyAfter(double time, double units, double now) {
-        return unitsPerMs > 0 && waitFor(units, now) > time - now;
+        return unitsPerMs > 0 && (handedOver || waitFor(units, now) > time - now);
     }
 }
--- a/src/main/java/kelphollow/decision/Volume.java
+++ b/src/main/java/kelphollow/decision/Volume.java
@@ -37,12 +37,13 @@
     private double sheddingReserveLeft;
     private long sheddingPass;
 
-    Volume(Plan plan, int instances, DecisionContext context, RequestSizes sizes) {
+    /** {@code limitRefilledFrom}: time from which the limit has been refilled. */
+    Volume(Plan plan, int instances, double limitRefilledFrom, DecisionContext context, RequestSizes sizes) {
         this.plan = plan;
         this.context = context;
         this.sizes = sizes;
         double now = context.now();
-        limiter = new RateLimiter(plan, instances, context.startedAt());
+        limiter = new RateLimiter(plan, instances, limitRefilledFrom);
         usage = new UsageShare(now);
         lastArrivalAt = now;
         reserveFilledAt = now;
--- a/src/main/java/kelphollow/decision/VolumeTable.java
+++ b/src/main/java/kelphollow/decision/VolumeTable.java
@@ -22,10 +22,41 @@
     private final Map<String, Volume> byName = new LinkedHashMap<>();
     /** Tokens that a previous process left, kept until the first request of their volume. */
     private final Map<String, Double> restoredTokens = new HashMap<>();
+    /** Tokens handed over to the next process, by volume; null before that. */
+    private Map<String, Double> handedOver;
+    /** Time from which the limits of volumes without restored tokens are refilled. */
+    private double refilledFrom;
 
     VolumeTable(DecisionContext context, RequestSizes sizes) {
         this.context = context;
         this.sizes = sizes;
+        this.refilledFrom = context.startedAt();
+    }
+
+    /** Refills the limits of volumes that have had no request from this time on only. */
+    void refillFrom(double time) {
+        refilledFrom = time;
+    }
+
+    /**
+     * Hands the limits of all volumes over to the next process, those of volumes without a request so far included.
+     *
+     * @param kept tokens by volume that this process keeps
+     */
+    void handOver(Map<Volume, Double> kept) {
+        Map<String, Double> tokens = new TreeMap<>(restoredTokens);
+        byName.forEach((name, volume) -> {
+            if (volume.plan.limitRate() > 0) {
+                tokens.put(name, volume.limiter.handOver(kept.getOrDefault(volume, 0.0), context.now()));
+            }
+        });
+        restoredTokens.clear();
+        handedOver = tokens;
+    }
+
+    /** The tokens that were handed over to the next process, by volume. */
+    Map<String, Double> handedOver() {
+        return handedOver;
     }
 
     /** Restores the rate limit tokens that a previous process left, by volume. */
@@ -41,7 +72,7 @@
         if (byName.size() >= IDLE_EVICTION_THRESHOLD && !byName.containsKey(name)) {
             evictIdle();
         }
-        Volume volume = byName.computeIfAbsent(name, n -> new Volume(plan, instances, context, sizes));
+        Volume volume = byName.computeIfAbsent(name, n -> create(plan, instances));
         volume.limiter.setInstances(instances, now);
         if (!restoredTokens.isEmpty()) {
             Double tokens = restoredTokens.remove(name);
@@ -52,6 +83,14 @@
         return volume;
     }
 
+    private Volume create(Plan plan, int instances) {
+        Volume volume = new Volume(plan, instances, refilledFrom, context, sizes);
+        if (handedOver != null) {
+            volume.limiter.handOver(0, context.now());
+        }
+        return volume;
+    }
+
     /**
      * Evicts idle volumes, so that names invented by clients do not fill memory. The token bucket of a volume
      * that was idle for so long is full, so nothing is lost.
--- a/src/main/java/kelphollow/program/GracefulShutdown.java
+++ b/src/main/java/kelphollow/program/GracefulShutdown.java
@@ -1,10 +1,8 @@
 package kelphollow.program;
 
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.logging.Logger;
 import kelphollow.routing.Invariant;
 import kelphollow.routing.RequestRouter;
@@ -14,7 +12,6 @@
     private static final Logger LOG = Logger.getLogger(GracefulShutdown.class.getName());
     // In milliseconds. No request waits longer than the longest deadline; this is extra time for responses to slow readers.
     private static final double SLOW_READER_GRACE_MS = 500;
-    private static final long LIMITS_TIMEOUT_MS = 500;
 
     private final Scheduler scheduler;
     /** Null without a management address. */
@@ -56,14 +53,14 @@
         Runtime.getRuntime().halt(0);   // without it the exit code would be the signal's, which reports a failure
     }
 
+    /** A next process without this file knows that the limits are unknown to it once this process has ended. */
     private void handOverLimits() {
         try {
-            management.handover().handOver(scheduler.onLoop(RequestRouter::handOverLimits).get(LIMITS_TIMEOUT_MS,
-                TimeUnit.MILLISECONDS));
+            management.handover().handOver(scheduler.onLoop(RequestRouter::handOverLimits).get());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            management.handover().handOver(Map.of());
+        } catch (ExecutionException e) {
+            LOG.warning("limits not handed over: " + e.getCause());
         }
     }
 
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -8,6 +8,8 @@
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlEvent.Endpoint;
 import kelphollow.decision.ControlEvent.EndpointPollFailure;
+import kelphollow.decision.ControlEvent.LimitsHandedOver;
+import kelphollow.decision.ControlEvent.LimitsNotHandedOver;
 import kelphollow.decision.ControlEvent.LimitsRestored;
 import kelphollow.decision.ControlEvent.NodesSuspected;
 import kelphollow.decision.ControlEvent.RequestArrived;
@@ -86,10 +88,19 @@
         decisions.handle(new LimitsRestored(tokens));
     }
 
-    /** Returns the tokens left of volumes' limits, by volume, for the process that replaces this one. */
+    /** The process that this one replaces has ended without handing over its limits; called before the first request. */
+    public void limitsNotHandedOver() {
+        decisions.handle(new LimitsNotHandedOver());
+    }
+
+    /**
+     * Gives up the limits and returns the tokens left of them, by volume, for the process that replaces this one. From now
+     * on only queued requests whose tokens are kept are sent of volumes with a limit.
+     */
     public Map<String, Double> handOverLimits() {
         log.limitsHandedOver();
-        return control.limitTokens();
+        decisions.handle(new LimitsHandedOver());
+        return control.handedOverLimits();
     }
 
     /** The tokens left of volumes' limits, by volume. */
--- a/src/test/java/kelphollow/decision/VolumeTest.java
+++ b/src/test/java/kelphollow/decision/VolumeTest.java
@@ -12,7 +12,7 @@
     private final StateHarness harness = new StateHarness();
 
     private Volume volume(Plan plan, int instances) {
-        return new Volume(plan, instances, harness.state.context, harness.state.sizes);
+        return new Volume(plan, instances, harness.state.context.startedAt(), harness.state.context, harness.state.sizes);
     }
 
     @Test void instancesShareTheCurveEvenly() {
