Refill limits from the end of a process that was killed before its hand-over

Cause: a new process that waited for the old one in vain got an empty set of tokens, which also means that nothing was spent, and refilled its limits from its own start on, as the old one had. Change: a missing hand-over is told apart from an empty one; limits refill from the end of the wait. The wait is measured on the monotonic clock, and a process that hands over and ends between two looks is not taken for one that ended without.

--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -7,6 +7,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.FileTime;
 import java.util.Map;
+import java.util.Optional;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 
@@ -23,6 +24,7 @@
     private static final String TEMPORARY_NAME = "kelphollow-handover.part";
     private static final long ALIVE_TIMEOUT_MS = 1_000;
     private static final long POLL_INTERVAL_MS = 20;
+    private static final double NANOS_PER_MS = 1e6;
 
     private final Path folder;
     private final long pid;
@@ -75,30 +77,31 @@
 
     /**
      * Waits until the other process has stopped accepting clients and returns the tokens it handed over, which only this
-     * process uses from then on. Returns no tokens if the other process's liveness file is a second old, or after
-     * {@code timeout} milliseconds.
+     * process uses from then on. Returns nothing if the other process has ended without, or after {@code timeout}
+     * milliseconds: then what it has spent is unknown.
      */
-    Map<String, Double> await(long process, double timeout) throws InterruptedException {
-        long until = System.currentTimeMillis() + (long) timeout;
-        while (System.currentTimeMillis() < until) {
+    Optional<Map<String, Double>> await(long process, double timeout) throws InterruptedException {
+        long until = System.nanoTime() + (long) (timeout * NANOS_PER_MS);
+        while (System.nanoTime() - until < 0) {
             Path left = handoverFile(process);
+            boolean wasAlive = isFresh(aliveFile(process));   // before the file: a process may hand over, then end
             if (Files.exists(left)) {
                 try {
                     Map<String, Double> tokens = LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
                     LOG.info(() -> "process " + pid + " takes over the limits of process " + process + ": "
                         + summary(tokens));
-                    return tokens;
+                    return Optional.of(tokens);
                 } catch (IOException | IllegalArgumentException e) {
                     LOG.fine(() -> "handover file " + left + " is not complete yet: " + e.getMessage());
                 }
-            } else if (!isFresh(aliveFile(process))) {
+            } else if (!wasAlive) {
                 LOG.warning(() -> "process " + process + " has ended without handing over its limits");
-                return Map.of();
+                return Optional.empty();
             }
             Thread.sleep(POLL_INTERVAL_MS);
         }
         LOG.warning(() -> "process " + process + " has not handed over its limits within " + (long) timeout + " ms");
-        return Map.of();
+        return Optional.empty();
     }
 
     private static String summary(Map<String, Double> tokens) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -86,6 +86,11 @@
         loop.submit(() -> router.restoreLimits(tokens)).syncUninterruptibly();
     }
 
+    /** The previous process has ended without handing over its limits; called before the first request. */
+    final void limitsNotHandedOver() {
+        loop.submit(() -> router.limitsNotHandedOver()).syncUninterruptibly();
+    }
+
     /** Runs {@code step} on the event loop, which owns the router, and completes with its result. */
     final <T> CompletableFuture<T> onLoop(Function<RequestRouter, T> step) {
         CompletableFuture<T> result = new CompletableFuture<>();
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -111,7 +111,8 @@
             if (predecessor != ProcessHandover.NO_PROCESS) {
                 management.listening((double) System.currentTimeMillis());
                 LOG.info(() -> "waits for process " + predecessor + " to hand over its limits");
-                scheduler.restoreLimits(management.handover().await(predecessor, HANDOVER_TIMEOUT_MS));
+                management.handover().await(predecessor, HANDOVER_TIMEOUT_MS)
+                    .ifPresentOrElse(scheduler::restoreLimits, scheduler::limitsNotHandedOver);
             }
         }
         return scheduler.listen(channel);
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,7 +32,7 @@
         assertEquals(-1, old.otherProcess(), "the old process sees no other");
 
         old.handOver(Map.of("v1", 3.5, "v2", 0.0));
-        assertEquals(Map.of("v1", 3.5, "v2", 0.0), next.await(OLD_PID, 5_000));
+        assertEquals(Optional.of(Map.of("v1", 3.5, "v2", 0.0)), next.await(OLD_PID, 5_000));
     }
 
     @Test void aProcessWithAStaleAliveFileIsNotWaitedFor() throws Exception {
@@ -41,7 +42,7 @@
             FileTime.fromMillis(System.currentTimeMillis() - 5_000));
 
         assertEquals(-1, next.otherProcess(), "the alive file is stale");
-        assertEquals(Map.of(), next.await(OLD_PID, 5_000), "no handover, and no wait for one");
+        assertEquals(Optional.empty(), next.await(OLD_PID, 5_000), "no handover, and no wait for one");
     }
 
     @Test void aTruncatedHandoverIsNotUsed() throws Exception {
@@ -49,6 +50,13 @@
         process(OLD_PID).showAlive();
         Files.writeString(folder.resolve("kelphollow-handover-" + OLD_PID), "v1 3.5\n");
 
-        assertEquals(Map.of(), next.await(OLD_PID, 100), "truncated: waits until the timeout");
+        assertEquals(Optional.empty(), next.await(OLD_PID, 100), "truncated: waits until the timeout");
+    }
+
+    @Test void anEmptyHandoverIsNoMissingOne() throws Exception {
+        process(OLD_PID).showAlive();
+        process(OLD_PID).handOver(Map.of());
+
+        assertEquals(Optional.of(Map.of()), process(NEXT_PID).await(OLD_PID, 5_000));
     }
 }
--- a/src/test/java/kelphollow/program/RepeatedSigtermTest.java
+++ b/src/test/java/kelphollow/program/RepeatedSigtermTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -90,9 +91,9 @@
             FileTime.fromMillis(System.currentTimeMillis() - 5_000));
         for (int bytes = 0; bytes <= complete.length(); bytes++) {
             Files.writeString(folder.resolve("kelphollow-handover.part"), complete.substring(0, bytes));
-            assertEquals(Map.of(), next.await(100, 60_000), bytes + " bytes");
+            assertEquals(Optional.empty(), next.await(100, 60_000), bytes + " bytes");
         }
         old.handOver(Map.of("v1", 3.5));                      // overwrites the leftover
-        assertEquals(Map.of("v1", 3.5), next.await(100, 60_000));
+        assertEquals(Optional.of(Map.of("v1", 3.5)), next.await(100, 60_000));
     }
 }
