Take a hand-over once, from the process that still owns the limits

Found by looking for the same class on related paths: chains of upgrades. Cause: a hand-over file stayed and could be read again, by a third process while the first still answered its last requests, or under a reused process id; all processes wrote through one temporary file; the first live process found was waited for, whether or not it still owned anything. Change: taking over is an atomic rename; a process whose limits were taken is no predecessor; a start removes what an ended process of its id left. Result: three tests in ProcessHandoverTest; RepeatedSigtermTest follows the name of the temporary file.

--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -42,11 +42,20 @@
 
     /** Applies an earlier process's maintenance before the scheduler listens; starts polling and the liveness updates. */
     void start() {
+        removeLeftovers();
         loop.submit(this::applyFileChange).syncUninterruptibly();
         loop.scheduleWithFixedDelay(this::applyFileChange, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(handover::showAlive, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void removeLeftovers() {
+        try {
+            handover.removeLeftovers();
+        } catch (IOException e) {
+            LOG.warning("hand-over of an earlier process not removed: " + e.getMessage());
+        }
+    }
+
     ProcessHandover handover() {
         return handover;
     }
--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.FileTime;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.logging.Logger;
@@ -21,7 +22,8 @@
     private static final Logger LOG = Logger.getLogger(ProcessHandover.class.getName());
     private static final String ALIVE_PREFIX = "kelphollow-alive-";
     private static final String HANDOVER_PREFIX = "kelphollow-handover-";
-    private static final String TEMPORARY_NAME = "kelphollow-handover.part";
+    private static final String TEMPORARY_PREFIX = "kelphollow-handover.part-";
+    private static final String TAKEN_PREFIX = "kelphollow-taken-";
     private static final long ALIVE_TIMEOUT_MS = 1_000;
     private static final long POLL_INTERVAL_MS = 20;
     private static final double NANOS_PER_MS = 1e6;
@@ -43,6 +45,17 @@
         return folder.resolve(HANDOVER_PREFIX + process);
     }
 
+    /** The hand-over of a process once another one has taken it. */
+    private Path takenFile(long process) {
+        return folder.resolve(TAKEN_PREFIX + process);
+    }
+
+    /** Removes what an ended process of the same id has left, which would be taken for this process's hand-over. */
+    void removeLeftovers() throws IOException {
+        Files.deleteIfExists(handoverFile(pid));
+        Files.deleteIfExists(takenFile(pid));
+    }
+
     /** Updates this process's liveness file. Must be repeated well within a second, after which it counts as dead. */
     void showAlive() {
         try {
@@ -56,12 +69,16 @@
         }
     }
 
-    /** Returns another process whose liveness file was updated within the last second, or {@link #NO_PROCESS}. */
-    long otherProcess() {
+    /**
+     * Returns another live process whose limits no process has taken over, or {@link #NO_PROCESS}: of several one that has
+     * not handed over, since an older one may still be answering its last requests.
+     */
+    long predecessor() {
         try (Stream<Path> files = Files.list(folder)) {
             return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
                 .mapToLong(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length())))
-                .filter(process -> process != pid && isFresh(aliveFile(process))).findFirst().orElse(NO_PROCESS);
+                .filter(process -> process != pid && isFresh(aliveFile(process)) && !Files.exists(takenFile(process))).boxed()
+                .min(Comparator.comparing(process -> Files.exists(handoverFile(process)))).orElse(NO_PROCESS);
         } catch (IOException | NumberFormatException e) {
             return NO_PROCESS;
         }
@@ -88,11 +105,12 @@
             if (Files.exists(left)) {
                 try {
                     Map<String, Double> tokens = LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
+                    Files.move(left, takenFile(process), StandardCopyOption.ATOMIC_MOVE);
                     LOG.info(() -> "process " + pid + " takes over the limits of process " + process + ": "
                         + summary(tokens));
                     return Optional.of(tokens);
                 } catch (IOException | IllegalArgumentException e) {
-                    LOG.fine(() -> "handover file " + left + " is not complete yet: " + e.getMessage());
+                    LOG.fine(() -> "handover file " + left + " cannot be taken: " + e.getMessage());
                 }
             } else if (!wasAlive) {
                 LOG.warning(() -> "process " + process + " has ended without handing over its limits");
@@ -111,7 +129,7 @@
 
     /** Writes the tokens of this process's limits for the next process; called once no new clients are accepted. */
     void handOver(Map<String, Double> tokens) {
-        Path temporary = folder.resolve(TEMPORARY_NAME);
+        Path temporary = folder.resolve(TEMPORARY_PREFIX + pid);
         try {
             Files.writeString(temporary, LimitHandoverFile.text(tokens), StandardCharsets.US_ASCII);
             Files.move(temporary, handoverFile(pid), StandardCopyOption.ATOMIC_MOVE,
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -107,7 +107,7 @@
         throws ConfigurationException, InterruptedException {
         ServerSocketChannel channel = inheritedSocket();
         if (management != null) {
-            long predecessor = management.handover().otherProcess();
+            long predecessor = management.handover().predecessor();
             if (predecessor != ProcessHandover.NO_PROCESS) {
                 management.listening((double) System.currentTimeMillis());
                 LOG.info(() -> "waits for process " + predecessor + " to hand over its limits");
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,8 @@
 class ProcessHandoverTest {
     private static final long OLD_PID = 100;
     private static final long NEXT_PID = 200;
+    private static final long THIRD_PID = 300;
+    private static final long LAST_PID = 400;
     @TempDir
     Path folder;
 
@@ -28,8 +31,8 @@
         ProcessHandover next = process(NEXT_PID);
 
         old.showAlive();
-        assertEquals(OLD_PID, next.otherProcess(), "the old process has a fresh alive file");
-        assertEquals(-1, old.otherProcess(), "the old process sees no other");
+        assertEquals(OLD_PID, next.predecessor(), "the old process has a fresh alive file");
+        assertEquals(-1, old.predecessor(), "the old process sees no other");
 
         old.handOver(Map.of("v1", 3.5, "v2", 0.0));
         assertEquals(Optional.of(Map.of("v1", 3.5, "v2", 0.0)), next.await(OLD_PID, 5_000));
@@ -41,7 +44,7 @@
         Files.setLastModifiedTime(folder.resolve("kelphollow-alive-" + OLD_PID),
             FileTime.fromMillis(System.currentTimeMillis() - 5_000));
 
-        assertEquals(-1, next.otherProcess(), "the alive file is stale");
+        assertEquals(-1, next.predecessor(), "the alive file is stale");
         assertEquals(Optional.empty(), next.await(OLD_PID, 5_000), "no handover, and no wait for one");
     }
 
@@ -59,4 +62,35 @@
 
         assertEquals(Optional.of(Map.of()), process(NEXT_PID).await(OLD_PID, 5_000));
     }
+
+    @Test void limitsAreTakenOverOnce() throws Exception {
+        ProcessHandover old = process(OLD_PID);
+        old.showAlive();
+        old.handOver(Map.of("v1", 3.5));
+        assertEquals(Optional.of(Map.of("v1", 3.5)), process(NEXT_PID).await(OLD_PID, 5_000));
+
+        assertEquals(-1, process(THIRD_PID).predecessor(), "the old process has nothing left to hand over");
+        assertEquals(Optional.empty(), process(THIRD_PID).await(OLD_PID, 100));
+    }
+
+    @Test void theThirdProcessWaitsForTheSecondWhileTheFirstAnswersItsLastRequests() throws Exception {
+        for (long first : List.of(OLD_PID, THIRD_PID)) {
+            process(first).showAlive();
+            process(first).handOver(Map.of());
+            process(NEXT_PID).showAlive();
+
+            assertEquals(NEXT_PID, process(LAST_PID).predecessor(), "first process " + first);
+            process(NEXT_PID).await(first, 5_000);
+            assertEquals(NEXT_PID, process(LAST_PID).predecessor(), "first process " + first + ", taken over");
+        }
+    }
+
+    @Test void aHandoverLeftByAnEndedProcessOfTheSameIdIsNotTaken() throws Exception {
+        process(OLD_PID).handOver(Map.of("v1", 3.5));
+
+        process(OLD_PID).removeLeftovers();
+        process(OLD_PID).showAlive();
+
+        assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 100));
+    }
 }
--- a/src/test/java/kelphollow/program/RepeatedSigtermTest.java
+++ b/src/test/java/kelphollow/program/RepeatedSigtermTest.java
@@ -90,7 +90,7 @@
         Files.setLastModifiedTime(folder.resolve("kelphollow-alive-100"),
             FileTime.fromMillis(System.currentTimeMillis() - 5_000));
         for (int bytes = 0; bytes <= complete.length(); bytes++) {
-            Files.writeString(folder.resolve("kelphollow-handover.part"), complete.substring(0, bytes));
+            Files.writeString(folder.resolve("kelphollow-handover.part-100"), complete.substring(0, bytes));
             assertEquals(Optional.empty(), next.await(100, 60_000), bytes + " bytes");
         }
         old.handOver(Map.of("v1", 3.5));                      // overwrites the leftover
