Tell a live predecessor by a lock that the kernel frees, not by the wall clock

A wall clock stepped by a second or more made the old process's liveness file look stale, so the new one took clients beside it; stepped back, a dead process was waited for up to 12 s. Change: LivenessLock; the liveness file goes on for processes of earlier releases, and is judged by itself only where no lock file is. Result: two tests in ProcessHandoverTest with steps of 5 s and an hour, either way. The two tests of a stale file make it without a lock, as an earlier release or an ended process leaves it. UpgradeLimitTest kills a real process before its hand-over: the limit holds.

--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -21,6 +21,7 @@
     static final long NO_PROCESS = -1;
     private static final Logger LOG = Logger.getLogger(ProcessHandover.class.getName());
     private static final String ALIVE_PREFIX = "kelphollow-alive-";
+    private static final String LOCK_PREFIX = "kelphollow-lock-";
     private static final String HANDOVER_PREFIX = "kelphollow-handover-";
     private static final String TEMPORARY_PREFIX = "kelphollow-handover.part-";
     private static final String TAKEN_PREFIX = "kelphollow-taken-";
@@ -30,17 +31,23 @@
 
     private final Path folder;
     private final long pid;
+    private final LivenessLock liveness;
 
     /** {@code pid} is the id of this process, which names its files. */
     ProcessHandover(Path folder, long pid) {
         this.folder = folder;
         this.pid = pid;
+        this.liveness = liveness(pid);
     }
 
     private Path aliveFile(long process) {
         return folder.resolve(ALIVE_PREFIX + process);
     }
 
+    private LivenessLock liveness(long process) {
+        return new LivenessLock(folder.resolve(LOCK_PREFIX + process));
+    }
+
     private Path handoverFile(long process) {
         return folder.resolve(HANDOVER_PREFIX + process);
     }
@@ -56,8 +63,14 @@
         Files.deleteIfExists(takenFile(pid));
     }
 
-    /** Updates this process's liveness file. Must be repeated well within a second, after which it counts as dead. */
+    /**
+     * Updates this process's liveness file, and takes its lock the first time. The file alone, repeated well within a
+     * second, is for processes of earlier releases.
+     */
     void showAlive() {
+        if (!liveness.isHeldHere()) {
+            liveness.hold();
+        }
         try {
             Path mine = aliveFile(pid);
             if (!Files.exists(mine)) {
@@ -77,16 +90,23 @@
         try (Stream<Path> files = Files.list(folder)) {
             return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
                 .mapToLong(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length())))
-                .filter(process -> process != pid && isFresh(aliveFile(process)) && !Files.exists(takenFile(process))).boxed()
+                .filter(process -> process != pid && isAlive(process) && !Files.exists(takenFile(process))).boxed()
                 .min(Comparator.comparing(process -> Files.exists(handoverFile(process)))).orElse(NO_PROCESS);
         } catch (IOException | NumberFormatException e) {
             return NO_PROCESS;
         }
     }
 
+    private boolean isAlive(long process) {
+        LivenessLock lock = liveness(process);
+        return lock.exists() ? lock.isHeld() : isFresh(aliveFile(process));
+    }
+
+    /** For processes of earlier releases, which have no lock; a step of the wall clock makes them look dead for a moment. */
     private static boolean isFresh(Path file) {
         try {
-            return System.currentTimeMillis() - Files.getLastModifiedTime(file).toMillis() < ALIVE_TIMEOUT_MS;
+            long age = System.currentTimeMillis() - Files.getLastModifiedTime(file).toMillis();
+            return Math.abs(age) < ALIVE_TIMEOUT_MS;
         } catch (IOException e) {
             return false;
         }
@@ -101,7 +121,7 @@
         long until = System.nanoTime() + (long) (timeout * NANOS_PER_MS);
         while (System.nanoTime() - until < 0) {
             Path left = handoverFile(process);
-            boolean wasAlive = isFresh(aliveFile(process));   // before the file: a process may hand over, then end
+            boolean wasAlive = isAlive(process);   // before the file: a process may hand over, then end
             if (Files.exists(left)) {
                 try {
                     Map<String, Double> tokens = LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
--- a/src/test/java/kelphollow/lab/soak/UpgradeLimitTest.java
+++ b/src/test/java/kelphollow/lab/soak/UpgradeLimitTest.java
@@ -88,4 +88,15 @@
 
         assertEquals(List.of(), breachesAfterLoad());
     }
+
+    @Test void aProcessKilledBeforeItsHandoverLeavesNoTokensTwice() throws Exception {
+        configure();
+        instance.startSuccessor();
+        while (!instance.reportsReady()) {
+            Thread.sleep(POLL_MS);
+        }
+        instance.signalPredecessor("KILL");
+
+        assertEquals(List.of(), breachesAfterLoad());
+    }
 }
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -40,9 +40,8 @@
 
     @Test void aProcessWithAStaleAliveFileIsNotWaitedFor() throws Exception {
         ProcessHandover next = process(NEXT_PID);
-        process(OLD_PID).showAlive();
-        Files.setLastModifiedTime(folder.resolve("kelphollow-alive-" + OLD_PID),
-            FileTime.fromMillis(System.currentTimeMillis() - 5_000));
+        Path alive = Files.writeString(folder.resolve("kelphollow-alive-" + OLD_PID), "");   // of an earlier release: no lock
+        Files.setLastModifiedTime(alive, FileTime.fromMillis(System.currentTimeMillis() - 5_000));
 
         assertEquals(-1, next.predecessor(), "the alive file is stale");
         assertEquals(Optional.empty(), next.await(OLD_PID, 5_000), "no handover, and no wait for one");
@@ -93,4 +92,24 @@
 
         assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 100));
     }
+
+    @Test void aLiveProcessIsWaitedForWhateverTheWallClockSays() throws Exception {
+        ProcessHandover old = process(OLD_PID);
+        old.showAlive();
+        for (long step : List.of(-3_600_000L, -5_000L, 5_000L, 3_600_000L)) {
+            Files.setLastModifiedTime(folder.resolve("kelphollow-alive-" + OLD_PID),
+                FileTime.fromMillis(System.currentTimeMillis() + step));
+
+            assertEquals(OLD_PID, process(NEXT_PID).predecessor(), "clock stepped by " + step + " ms");
+        }
+    }
+
+    @Test void anEndedProcessIsNotWaitedForWhateverTheWallClockSays() throws Exception {
+        Files.writeString(folder.resolve("kelphollow-lock-" + OLD_PID), "");            // nobody holds the lock
+        Path alive = Files.writeString(folder.resolve("kelphollow-alive-" + OLD_PID), "");
+        Files.setLastModifiedTime(alive, FileTime.fromMillis(System.currentTimeMillis() + 3_600_000));
+
+        assertEquals(-1, process(NEXT_PID).predecessor());
+        assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 60_000));
+    }
 }
--- a/src/test/java/kelphollow/program/RepeatedSigtermTest.java
+++ b/src/test/java/kelphollow/program/RepeatedSigtermTest.java
@@ -85,7 +85,7 @@
     @Test void aHandoverWhoseWriterIsKilledBeforeTheRenameIsNeitherUsedNorWaitedFor() throws Exception {
         ProcessHandover old = new ProcessHandover(folder, 100);
         ProcessHandover next = new ProcessHandover(folder, 200);
-        old.showAlive();
+        Files.writeString(folder.resolve("kelphollow-alive-100"), "");   // its writer has been killed: no lock is held
         String complete = LimitHandoverFile.text(Map.of("v1", 3.5, "v2", 0.0));
         Files.setLastModifiedTime(folder.resolve("kelphollow-alive-100"),
             FileTime.fromMillis(System.currentTimeMillis() - 5_000));
