Measure readiness in an upgrade on the monotonic clock, from the first time

Cause: Management compared Unix times, so a stepped clock made a process ready at once or not for an hour; and the start of the wait was set anew when the process took clients, which could turn a yes into 'waiting for discovery'. Change: System.nanoTime; the first call counts.

--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -19,6 +19,7 @@
 final class Management implements MgmtServer.CommandHandler {
     private static final Logger LOG = Logger.getLogger(Management.class.getName());
     private static final long POLL_INTERVAL_MS = 200;
+    private static final double NANOS_PER_MS = 1e6;
     // After this time without a response from discovery a process reports ready and uses the configured endpoint list.
     private static final double READY_WITHOUT_ENDPOINTS_MS = 1_500;
 
@@ -28,7 +29,7 @@
     private final ProcessHandover handover;
     /** Calls whose change has been given to the router and is not written to the file yet. */
     private int openChanges;
-    /** In Unix milliseconds, NaN until the process listens. */
+    /** On the monotonic clock, in milliseconds; NaN until the process listens. */
     private volatile double listeningSince = Double.NaN;
     private volatile boolean shuttingDown;
 
@@ -60,9 +61,15 @@
         return handover;
     }
 
-    /** Called once clients are accepted, or will be when the old process stops; {@code now} in Unix milliseconds. */
-    void listening(double now) {
-        listeningSince = now;
+    /** Called once clients are accepted, or will be when the old process stops; the first call counts. */
+    void listening() {
+        if (Double.isNaN(listeningSince)) {
+            listeningSince = monotonicMs();
+        }
+    }
+
+    private static double monotonicMs() {
+        return System.nanoTime() / NANOS_PER_MS;
     }
 
     void shutdownStarted() {
@@ -96,7 +103,7 @@
             return "NAK starting";
         }
         boolean ready = scheduler.hasReceivedEndpoints()
-            || System.currentTimeMillis() - since >= READY_WITHOUT_ENDPOINTS_MS;
+            || monotonicMs() - since >= READY_WITHOUT_ENDPOINTS_MS;
         return ready ? "ACK ready" : "NAK waiting for discovery";
     }
 
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -61,7 +61,7 @@
         InetSocketAddress open = address;
         LOG.info(() -> "serves at " + Addresses.text(open));
         if (management != null) {
-            management.listening((double) System.currentTimeMillis());
+            management.listening();
         }
         reloadSignal.activate(started.reload());
         group.terminationFuture().sync();
@@ -109,7 +109,7 @@
         if (management != null) {
             long predecessor = management.handover().predecessor();
             if (predecessor != ProcessHandover.NO_PROCESS) {
-                management.listening((double) System.currentTimeMillis());
+                management.listening();
                 LOG.info(() -> "waits for process " + predecessor + " to hand over its limits");
                 management.handover().await(predecessor, HANDOVER_TIMEOUT_MS)
                     .ifPresentOrElse(scheduler::restoreLimits, scheduler::limitsNotHandedOver);
