Let what discovery tells either process of an upgrade bind both

It holds the other way too: a new process that finds discovery down goes on by the list of its file, which may be older than the old process's. Change: while another process lives, each writes the list that it received last to a file in the shared folder, and reads the other's every 40 ms and before it takes clients. SiblingRestriction (no I/O) decides: of a newer list of the same service only nodes usable in both, with the same start, get new requests, until the own list is as new. Maintenance is polled as often meanwhile.

--- a/src/main/java/kelphollow/program/GracefulShutdown.java
+++ b/src/main/java/kelphollow/program/GracefulShutdown.java
@@ -1,5 +1,6 @@
 package kelphollow.program;
 
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -56,7 +57,9 @@
     /** A next process without this file knows that the limits are unknown to it once this process has ended. */
     private void handOverLimits() {
         try {
-            management.handover().handOver(scheduler.onLoop(RequestRouter::handOverLimits).get());
+            Map<String, Double> tokens = scheduler.onLoop(RequestRouter::handOverLimits).get();
+            management.publishList();
+            management.handover().handOver(tokens);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -19,6 +19,8 @@
 final class Management implements MgmtServer.CommandHandler {
     private static final Logger LOG = Logger.getLogger(Management.class.getName());
     private static final long POLL_INTERVAL_MS = 200;
+    /** While there is another process: what it is told binds this one within the grace of draining nodes. */
+    private static final long UPGRADE_POLL_INTERVAL_MS = 40;
     private static final double NANOS_PER_MS = 1e6;
     // After this time without a response from discovery a process reports ready and uses the configured endpoint list.
     private static final double READY_WITHOUT_ENDPOINTS_MS = 1_500;
@@ -27,26 +29,56 @@
     private final EventLoop loop;
     private final MaintenanceFile file;
     private final ProcessHandover handover;
+    /** Null if this process is not replaced by one that runs beside it. */
+    private final SiblingLists siblings;
     /** Calls whose change has been given to the router and is not written to the file yet. */
     private int openChanges;
     /** On the monotonic clock, in milliseconds; NaN until the process listens. */
     private volatile double listeningSince = Double.NaN;
     private volatile boolean shuttingDown;
 
-    /** {@code maintenanceFile} is in the folder that both processes of an upgrade use. */
-    Management(Scheduler scheduler, EventLoop loop, Path maintenanceFile) {
+    /**
+     * Creates the handler; it runs after {@link #start}.
+     *
+     * @param maintenanceFile in the folder that both processes of an upgrade use
+     * @param replaceable whether another process may run beside this one to replace it
+     */
+    Management(Scheduler scheduler, EventLoop loop, Path maintenanceFile, boolean replaceable) {
         this.scheduler = scheduler;
         this.loop = loop;
         this.file = new MaintenanceFile(maintenanceFile);
         this.handover = new ProcessHandover(maintenanceFile.getParent(), ProcessHandle.current().pid());
+        this.siblings = replaceable ? new SiblingLists(scheduler, handover, maintenanceFile.getParent(),
+            ProcessHandle.current().pid()) : null;
     }
 
     /** Applies an earlier process's maintenance before the scheduler listens; starts polling and the liveness updates. */
     void start() {
         removeLeftovers();
         loop.submit(this::applyFileChange).syncUninterruptibly();
-        loop.scheduleWithFixedDelay(this::applyFileChange, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(handover::showAlive, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.execute(this::poll);
+    }
+
+    /** Applies what the other process has written, and writes what it has to know. */
+    private void poll() {
+        applyFileChange();
+        boolean upgrading = siblings != null && siblings.exchange();
+        loop.schedule(this::poll, upgrading ? UPGRADE_POLL_INTERVAL_MS : POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Writes this process's endpoint list for the one that takes over; blocks until that is done. */
+    void publishList() {
+        if (siblings != null) {
+            loop.submit(siblings::publish).syncUninterruptibly();
+        }
+    }
+
+    /** Has the endpoint list of the other process applied before any later task of the scheduler's loop; blocks. */
+    void readSiblingList() {
+        if (siblings != null) {
+            loop.submit(siblings::exchange).syncUninterruptibly();
+        }
     }
 
     private void removeLeftovers() {
--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import kelphollow.decision.Control;
 import kelphollow.decision.ControlSettings;
 import kelphollow.decision.ControlSettings.RequestClass;
@@ -16,6 +17,8 @@
 import kelphollow.retune.SettingsReload;
 import kelphollow.routing.EndpointUpdateBudget;
 import kelphollow.routing.RequestRouter;
+import kelphollow.routing.SiblingList;
+import kelphollow.routing.SiblingRestriction;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.ClientMemory;
 import kelphollow.transport.HttpCall;
@@ -26,10 +29,16 @@
     /** Requests the complete list: versions of different discovery services are not comparable. */
     private static final long NO_VERSION = -1;
 
+    private static final Logger LOG = Logger.getLogger(PlatformScheduler.class.getName());
+
     private final Random discoveryRandom;
     /** Open until discovery has returned its list or a call to it has failed. */
     private final CountDownLatch firstResponse = new CountDownLatch(1);
     private RespFront front;
+    private DiscoveryWatch watch;
+    private SiblingRestriction restriction;
+    /** The list last received, for the other process of an upgrade; null before that. */
+    private volatile SiblingList listForSibling;
     private InetSocketAddress discovery;
     private boolean pushed;
     /** The classes and attempt limit that apply after the activation delay of the last reload. */
@@ -62,7 +71,10 @@
         router.onFirstResponse(firstResponse::countDown);
         discovery = config.discovery();
         pushed = !settings.endpointsPolled();
-        router.start(watch(router, config.known().version()), pushed);
+        watch = watch(router, config.known().version());
+        restriction = new SiblingRestriction(watch.host(), watch.version());
+        router.onEndpointsReceived(entries -> listReceived());
+        router.start(watch, pushed);
         front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
             ClientMemory.ofHeap());
         requestSettings = requestSettings(settings);
@@ -83,6 +95,31 @@
             version, discoveryRandom);
     }
 
+    private void listReceived() {
+        restriction.listReceived(watch.host(), watch.version());
+        router().restrictEndpoints(restriction.usable());
+        if (listForSibling == null || watch.version() != listForSibling.version()
+            || !watch.host().equals(listForSibling.source())) {
+            listForSibling = new SiblingList(watch.host(), watch.version(), router().listedAsUsable());
+        }
+    }
+
+    @Override SiblingList listForSibling() {
+        return listForSibling;
+    }
+
+    @Override void siblingListRead(SiblingList list) {
+        loop().execute(() -> {
+            boolean wasRestricted = restriction.usable() != null;
+            restriction.siblingListRead(list);
+            router().restrictEndpoints(restriction.usable());
+            if (wasRestricted != (restriction.usable() != null)) {
+                LOG.info(() -> "endpoint list: version " + list.version() + " of the other process, own version "
+                    + watch.version() + (wasRestricted ? ", no longer restricts it" : ", restricts it"));
+            }
+        });
+    }
+
     private static SettingsReload.RequestSettings requestSettings(ControlSettings settings) {
         return new SettingsReload.RequestSettings(settings.classes(), settings.maxAttempts());
     }
@@ -102,7 +139,8 @@
             if (!config.discovery().equals(discovery) || nowPushed != pushed) {
                 discovery = config.discovery();
                 pushed = nowPushed;
-                router().changeEndpointSource(watch(router(), NO_VERSION), pushed);
+                watch = watch(router(), NO_VERSION);
+                router().changeEndpointSource(watch, pushed);
             }
             reloadSettings(requestSettings(config.settings()));
             reloadShutdownSchedule(shutdownSchedule(config.settings().classes()));
--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -9,7 +9,9 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -82,19 +84,24 @@
         }
     }
 
+    /** Returns all other live processes. */
+    Set<Long> others() {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
+                .map(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length())))
+                .filter(process -> process != pid && isAlive(process)).collect(Collectors.toSet());
+        } catch (IOException | NumberFormatException e) {
+            return Set.of();
+        }
+    }
+
     /**
      * Returns another live process whose limits no process has taken over, or {@link #NO_PROCESS}: of several one that has
      * not handed over, since an older one may still be answering its last requests.
      */
     long predecessor() {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
-                .mapToLong(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length())))
-                .filter(process -> process != pid && isAlive(process) && !Files.exists(takenFile(process))).boxed()
-                .min(Comparator.comparing(process -> Files.exists(handoverFile(process)))).orElse(NO_PROCESS);
-        } catch (IOException | NumberFormatException e) {
-            return NO_PROCESS;
-        }
+        return others().stream().filter(process -> !Files.exists(takenFile(process)))
+            .min(Comparator.comparing(process -> Files.exists(handoverFile(process)))).orElse(NO_PROCESS);
     }
 
     private boolean isAlive(long process) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import kelphollow.routing.RequestRouter;
+import kelphollow.routing.SiblingList;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.Front;
 import kelphollow.transport.Server;
@@ -149,6 +150,17 @@
         shutdown = schedule;
     }
 
+    /**
+     * Returns the endpoint list for the other process of an upgrade, a new object after each change, or null if none was
+     * received or no other process needs it; safe from any thread.
+     */
+    SiblingList listForSibling() {
+        return null;
+    }
+
+    /** Has the endpoint list of the other process of an upgrade applied on the loop; safe from any thread. */
+    void siblingListRead(SiblingList list) {}
+
     /** Called on the loop when the shutdown starts. */
     void shutdownStarted() {}
 
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -9,6 +9,8 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import kelphollow.protocol.mgmt.MgmtServer;
@@ -46,7 +48,7 @@
         Started started = file == null ? startPlatform(loop, ticker) : startGateway(loop, ticker);
         Scheduler scheduler = started.scheduler();
         Management management = started.operations().management() == null ? null
-            : startManagement(scheduler, started.operations().management(), started.maintenanceFile().get());
+            : startManagement(scheduler, started.operations(), started.maintenanceFile().get());
         Thread shutdown = new GracefulShutdown(scheduler, management, started.longestDeadline()).register();
         Signal.handle(new Signal("TERM"), defaultTerm);
         InetSocketAddress address = null;
@@ -90,11 +92,12 @@
     }
 
     /** Starts the management server on its own event loop, after the stored maintenance has been applied. */
-    private static Management startManagement(Scheduler scheduler, InetSocketAddress address, Path maintenanceFile) {
+    private static Management startManagement(Scheduler scheduler, PlatformConfig.Operations operations,
+        Path maintenanceFile) {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Management management = new Management(scheduler, loop, maintenanceFile);
+        Management management = new Management(scheduler, loop, maintenanceFile, operations.inheritsSocket());
         management.start();
-        InetSocketAddress bound = new MgmtServer(loop, management).listen(address);
+        InetSocketAddress bound = new MgmtServer(loop, management).listen(operations.management());
         LOG.info(() -> "management at " + Addresses.text(bound));
         return management;
     }
@@ -111,8 +114,9 @@
             if (predecessor != ProcessHandover.NO_PROCESS) {
                 management.listening();
                 LOG.info(() -> "waits for process " + predecessor + " to hand over its limits");
-                management.handover().await(predecessor, HANDOVER_TIMEOUT_MS)
-                    .ifPresentOrElse(scheduler::restoreLimits, scheduler::limitsNotHandedOver);
+                Optional<Map<String, Double>> tokens = management.handover().await(predecessor, HANDOVER_TIMEOUT_MS);
+                management.readSiblingList();
+                tokens.ifPresentOrElse(scheduler::restoreLimits, scheduler::limitsNotHandedOver);
             }
         }
         return scheduler.listen(channel);
--- /dev/null
+++ b/src/main/java/kelphollow/program/SiblingLists.java
@@ -0,0 +1,70 @@
+package kelphollow.program;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+import kelphollow.routing.SiblingList;
+
+/**
+ * Exchanges endpoint lists with the other process of an upgrade through files in the shared folder, as long as there is
+ * one. Confined to the management loop.
+ */
+final class SiblingLists {
+    private static final Logger LOG = Logger.getLogger(SiblingLists.class.getName());
+    private static final String PREFIX = "kelphollow-endpoints-";
+
+    private final Scheduler scheduler;
+    private final ProcessHandover processes;
+    private final Path folder;
+    private final SiblingListFile own;
+    private final Map<Long, SiblingListFile> siblings = new HashMap<>();
+    /** The list last written, or null. */
+    private SiblingList written;
+
+    SiblingLists(Scheduler scheduler, ProcessHandover processes, Path folder, long pid) {
+        this.scheduler = scheduler;
+        this.processes = processes;
+        this.folder = folder;
+        this.own = new SiblingListFile(folder.resolve(PREFIX + pid));
+    }
+
+    /** Writes the own list if it has changed and reads those of other live processes; returns whether there is one. */
+    boolean exchange() {
+        Set<Long> others = processes.others();
+        siblings.keySet().retainAll(others);
+        if (!others.isEmpty()) {
+            publish();
+        }
+        others.forEach(this::read);
+        return !others.isEmpty();
+    }
+
+    /** Writes the own list if it has changed since. */
+    void publish() {
+        SiblingList list = scheduler.listForSibling();
+        if (list == null || list == written) {
+            return;
+        }
+        try {
+            own.write(list);
+            written = list;
+        } catch (IOException e) {
+            LOG.warning("endpoint list not written for the other process, tried again: " + e.getMessage());
+        }
+    }
+
+    private void read(long process) {
+        SiblingListFile file = siblings.computeIfAbsent(process, id -> new SiblingListFile(folder.resolve(PREFIX + id)));
+        try {
+            SiblingList list = file.readChange();
+            if (list != null) {
+                scheduler.siblingListRead(list);
+            }
+        } catch (IOException e) {
+            LOG.fine(() -> "endpoint list of process " + process + " not read, tried again: " + e.getMessage());
+        }
+    }
+}
--- a/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
+++ b/src/main/java/kelphollow/protocol/discovery/DiscoveryWatch.java
@@ -85,6 +85,16 @@
         this.random = random;
     }
 
+    /** Version of the list that was accepted last. */
+    public long version() {
+        return version;
+    }
+
+    /** The service that is watched. */
+    public String host() {
+        return host;
+    }
+
     @Override public void watch() {
         if (state == State.IDLE) {
             state = State.WATCHING;
--- a/src/main/java/kelphollow/routing/EndpointOverrides.java
+++ b/src/main/java/kelphollow/routing/EndpointOverrides.java
@@ -1,6 +1,7 @@
 package kelphollow.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import kelphollow.decision.ControlEvent.Endpoint;
@@ -9,8 +10,8 @@
 import kelphollow.maintenance.MaintenanceSet;
 
 /**
- * Overrides of the endpoint list: maintenance by the operators, and ejection on the reports of other instances. Either
- * makes the decision module see a node as draining. Confined to the event loop.
+ * Overrides of the endpoint list: maintenance by the operators, ejection on the reports of other instances, and a newer list
+ * of the other process of an upgrade. Each makes the decision module see a node as draining. Confined to the event loop.
  */
 final class EndpointOverrides {
     private final Ticker ticker;
@@ -74,7 +75,15 @@
 
     /** See {@link FleetRouting#eject}. */
     void eject(Set<String> nodes) {
-        List<Endpoint> changed = table.eject(nodes);
+        applyChanged(table.eject(nodes));
+    }
+
+    /** See {@link RequestRouter#restrictEndpoints}. */
+    void restrictTo(Map<String, Double> usable) {
+        applyChanged(table.restrictTo(usable));
+    }
+
+    private void applyChanged(List<Endpoint> changed) {
         if (!changed.isEmpty()) {
             notifyChanged(changed);
             for (Endpoint endpoint : changed) {
--- a/src/main/java/kelphollow/routing/EndpointTable.java
+++ b/src/main/java/kelphollow/routing/EndpointTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import kelphollow.decision.ControlEvent.Endpoint;
 import kelphollow.decision.ControlEvent.EndpointState;
@@ -25,6 +26,8 @@
     private final Map<String, ResolvedEndpoint> endpoints = new HashMap<>();
     private final MaintenanceSet maintenance = new MaintenanceSet();
     private Set<String> ejected = Set.of();
+    /** The nodes that may be used, with the time of their last start, by another process's list; null: any. */
+    private Map<String, Double> restriction;
 
     /** The entry of the node with its address, or null if the list does not name the node. */
     ResolvedEndpoint find(String node) {
@@ -38,13 +41,29 @@
 
     /** The entry with the state that the overrides give it, as the decision module sees it. */
     Endpoint effective(Endpoint endpoint) {
-        boolean overridden = maintenance.contains(endpoint.node()) || ejected.contains(endpoint.node());
+        boolean overridden = maintenance.contains(endpoint.node()) || ejected.contains(endpoint.node())
+            || !isWithin(restriction, endpoint);
         if (!overridden || endpoint.state() != EndpointState.HEALTHY) {
             return endpoint;
         }
         return new Endpoint(endpoint.node(), endpoint.zone(), endpoint.cell(), EndpointState.DRAINING, endpoint.startedAt());
     }
 
+    private static boolean isWithin(Map<String, Double> restriction, Endpoint endpoint) {
+        return restriction == null || Objects.equals(restriction.get(endpoint.node()), endpoint.startedAt());
+    }
+
+    /** The nodes that the received list allows to be used, without overrides, with the time of their last start. */
+    Map<String, Double> listedAsUsable() {
+        Map<String, Double> usable = new HashMap<>();
+        for (ResolvedEndpoint entry : endpoints.values()) {
+            if (entry.endpoint().state() == EndpointState.HEALTHY) {
+                usable.put(entry.endpoint().node(), entry.endpoint().startedAt());
+            }
+        }
+        return usable;
+    }
+
     /** Whether new requests may go to the node. */
     boolean acceptsRequests(String node) {
         ResolvedEndpoint found = endpoints.get(node);
@@ -81,6 +100,17 @@
             && (!old.address().equals(entry.address()) || old.endpoint().startedAt() != entry.endpoint().startedAt());
     }
 
+    /**
+     * Restricts the nodes in use to these, with these start times, or lifts the restriction if null. Returns the entries for
+     * which that makes a difference, in their effective state.
+     */
+    List<Endpoint> restrictTo(Map<String, Double> usable) {
+        Map<String, Double> before = restriction;
+        restriction = usable;
+        return endpoints.values().stream().map(ResolvedEndpoint::endpoint)
+            .filter(e -> isWithin(before, e) != isWithin(usable, e)).map(this::effective).toList();
+    }
+
     /**
      * Replaces the set of ejected nodes. Returns the entries whose ejection has changed, in their effective state.
      */
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -228,6 +228,19 @@
         return overrides.nodesInMaintenance();
     }
 
+    /**
+     * Restricts the nodes in use to these, with the time of their last start as listed, since another process of this
+     * scheduler has a newer list; null lifts the restriction.
+     */
+    public void restrictEndpoints(Map<String, Double> usable) {
+        overrides.restrictTo(usable);
+    }
+
+    /** The nodes that the list from the source allows to be used, whatever overrides say, with the time of their last start. */
+    public Map<String, Double> listedAsUsable() {
+        return table.listedAsUsable();
+    }
+
     @Override public void eject(Set<String> nodes) {
         overrides.eject(nodes);
     }
--- a/src/test/java/kelphollow/routing/LimitHandoverTest.java
+++ b/src/test/java/kelphollow/routing/LimitHandoverTest.java
@@ -73,7 +73,8 @@
         old.router.updateEndpoints(RouterHarness.healthy("n", "m"), true);
         old.advance(10, 50);
         old.now += 3_000;
-        assertEquals(4, old.sent.size() + old.rejected.size() - 2, "the four that were kept are sent or answered, none twice");
+        assertEquals(4, old.sent.size() + old.rejected.size() - 2,
+            "the four that were kept are sent or answered, none twice");
         assertEquals(old.sent.size(), old.sent.stream().filter(attempt -> attempt.number() == 0).count());
     }
 
