--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -89,7 +89,10 @@
         return state.volumes.limitTokens();
     }
 
-    /** Tokens that {@link ControlEvent.LimitsHandedOver} gave up for the next process, by volume; null before it. */
+    /**
+     * Tokens that {@link ControlEvent.LimitsHandedOver} gave up for the next process, by volume; null before
+     * it.
+     */
     public Map<String, Double> handedOverLimits() {
         return state.volumes.handedOver();
     }
--- a/src/main/java/kelphollow/decision/RateLimiter.java
+++ b/src/main/java/kelphollow/decision/RateLimiter.java
@@ -68,7 +68,8 @@
     }
 
     /**
-     * Hands the limit over to the next process, with all tokens but {@code kept}, which this process may still use.
+     * Hands the limit over to the next process, with all tokens but {@code kept}, which this process may
+     * still use.
      *
      * @return the tokens for the next process
      */
@@ -108,8 +109,8 @@
     }
 
     /**
-     * Milliseconds until the bucket holds this many units, with the repayment in the meantime included; 0 if the limit was
-     * handed over, since the next process may hold them.
+     * Milliseconds until the bucket holds this many units, with the repayment in the meantime included; 0 if
+     * the limit was handed over, since the next process may hold them.
      */
     double waitFor(double units, double now) {
         if (handedOver || allows(units, now)) {
@@ -119,7 +120,9 @@
         return (missing + Math.min(borrowed, missing * REPAYMENT_SHARE / (1 - REPAYMENT_SHARE))) / unitsPerMs;
     }
 
-    /** Whether the bucket will hold this many units for another request only after {@code time}, or never again. */
+    /**
+     * Whether the bucket will hold this many units for another request only after {@code time}, or never again.
+     */
     boolean holdsOnlyAfter(double time, double units, double now) {
         return unitsPerMs > 0 && (handedOver || waitFor(units, now) > time - now);
     }
--- a/src/main/java/kelphollow/decision/VolumeTable.java
+++ b/src/main/java/kelphollow/decision/VolumeTable.java
@@ -39,7 +39,8 @@
     }
 
     /**
-     * Hands the limits of all volumes over to the next process, those of volumes without a request so far included.
+     * Hands the limits of all volumes over to the next process, those of volumes without a request so far
+     * included.
      *
      * @param kept tokens by volume that this process keeps
      */
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -236,7 +236,7 @@
         overrides.restrictTo(usable);
     }
 
-    /** The nodes that the list from the source allows to be used, whatever overrides say, with the time of their last start. */
+    /** The nodes that the list from the source allows to be used, without overrides, with the time of their last start. */
     public Map<String, Double> listedAsUsable() {
         return table.listedAsUsable();
     }
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -40,7 +40,7 @@
 
     @Test void aProcessWithAStaleAliveFileIsNotWaitedFor() throws Exception {
         ProcessHandover next = process(NEXT_PID);
-        Path alive = Files.writeString(folder.resolve("kelphollow-alive-" + OLD_PID), "");   // of an earlier release: no lock
+        Path alive = Files.writeString(folder.resolve("kelphollow-alive-" + OLD_PID), "");   // of an earlier release
         Files.setLastModifiedTime(alive, FileTime.fromMillis(System.currentTimeMillis() - 5_000));
 
         assertEquals(-1, next.predecessor(), "the alive file is stale");
