--- a/src/main/java/kelphollow/decision/LimitHandover.java
+++ b/src/main/java/kelphollow/decision/LimitHandover.java
@@ -7,9 +7,9 @@
 
 /**
  * Hands this instance's share of the rate limits over to the process that replaces it. Only one of the two
- * processes of an upgrade may own a token: this one keeps those of queued requests for which there are enough,
- * and the next one gets the others and all that is refilled from then on. Confined to the thread that drives
- * {@link Control}.
+ * processes of an upgrade may own a token: this one keeps those of queued requests for which there are
+ * enough, and the next one gets the others and all that is refilled from then on. Confined to the thread
+ * that drives {@link Control}.
  */
 final class LimitHandover {
     private final SchedulerState state;
@@ -21,8 +21,8 @@
     }
 
     /**
-     * Keeps tokens for the oldest queued requests, rejects the other ones of limited volumes, and gives up the
-     * limits.
+     * Keeps tokens for the oldest queued requests, rejects the other ones of limited volumes, and gives up
+     * the limits.
      */
     void handOver() {
         Map<Volume, Double> kept = new HashMap<>();
--- a/src/main/java/kelphollow/decision/RateLimiter.java
+++ b/src/main/java/kelphollow/decision/RateLimiter.java
@@ -121,7 +121,8 @@
     }
 
     /**
-     * Whether the bucket will hold this many units for another request only after {@code time}, or never again.
+     * Whether the bucket will hold this many units for another request only after {@code time}, or never
+     * again.
      */
     boolean holdsOnlyAfter(double time, double units, double now) {
         return unitsPerMs > 0 && (handedOver || waitFor(units, now) > time - now);
--- a/src/main/java/kelphollow/lab/soak/SoakClients.java
+++ b/src/main/java/kelphollow/lab/soak/SoakClients.java
@@ -73,6 +73,8 @@
         private final Random random;
         private RespClient connection;
         private int sent;
+        /** The request that was written completely last, on whichever connection. */
+        private String recordedId;
 
         Client(String name, int instance, InetSocketAddress address, Random random) {
             this.name = name;
@@ -119,7 +121,7 @@
             String command = use == null ? RespClient.get(id, requestClass.name(), requestClass.patience(), cell)
                 : RespClient.get(id, requestClass.name(), requestClass.patience(), cell, use);
             for (int attempt = 0; attempt < 2; attempt++) {
-                Outcome outcome = requestOnce(id, requestClass, command, use, attempt == 0);
+                Outcome outcome = requestOnce(id, requestClass, command, use);
                 if (outcome != Outcome.CONNECTION_ENDED) {
                     history.add(new RequestEnded(history.now(), id, outcome));
                     return;
@@ -142,7 +144,7 @@
                 : new VolumeUse(ServeProcess.LIMITED_PLAN, "limited", LIMITED_UNITS, limitedBy);
         }
 
-        private Outcome requestOnce(String id, RequestClass requestClass, String command, VolumeUse use, boolean first)
+        private Outcome requestOnce(String id, RequestClass requestClass, String command, VolumeUse use)
             throws Exception {
             try {
                 if (random.nextDouble() < SEGMENTED_SHARE) {
@@ -154,7 +156,8 @@
                 } else {
                     connection.send(command);
                 }
-                if (first) {
+                if (!id.equals(recordedId)) {
+                    recordedId = id;
                     history.add(new RequestSent(history.now(), id, instance, requestClass.mustRunOnce(),
                         requestClass.patience(), use == null ? null : use.volume(), use == null ? 0 : use.units()));
                 }
--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -37,7 +37,9 @@
     private RespFront front;
     private DiscoveryWatch watch;
     private SiblingRestriction restriction;
-    /** The list last received, for the other process of an upgrade; null before that. */
+    /** Changed on the loop. */
+    private volatile boolean hasSibling;
+    /** The list last received, for the other process of an upgrade; null before there is one. */
     private volatile SiblingList listForSibling;
     private InetSocketAddress discovery;
     private boolean pushed;
@@ -98,12 +100,22 @@
     private void listReceived() {
         restriction.listReceived(watch.host(), watch.version());
         router().restrictEndpoints(restriction.usable());
-        if (listForSibling == null || watch.version() != listForSibling.version()
-            || !watch.host().equals(listForSibling.source())) {
+        if (hasSibling) {
             listForSibling = new SiblingList(watch.host(), watch.version(), router().listedAsUsable());
         }
     }
 
+    @Override void setHasSibling(boolean has) {
+        if (has != hasSibling) {
+            loop().execute(() -> {
+                hasSibling = has;
+                if (has && router().hasReceivedEndpoints()) {
+                    listReceived();
+                }
+            });
+        }
+    }
+
     @Override SiblingList listForSibling() {
         return listForSibling;
     }
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -150,9 +150,12 @@
         shutdown = schedule;
     }
 
+    /** Whether another process of the scheduler is alive; called from any one thread. */
+    void setHasSibling(boolean has) {}
+
     /**
-     * Returns the endpoint list for the other process of an upgrade, a new object after each change, or null if none was
-     * received or no other process needs it; safe from any thread.
+     * Returns the endpoint list for the other process of an upgrade, or null if none was received or no other process needs
+     * it; safe from any thread.
      */
     SiblingList listForSibling() {
         return null;
--- a/src/main/java/kelphollow/program/SiblingLists.java
+++ b/src/main/java/kelphollow/program/SiblingLists.java
@@ -35,6 +35,7 @@
     boolean exchange() {
         Set<Long> others = processes.others();
         siblings.keySet().retainAll(others);
+        scheduler.setHasSibling(!others.isEmpty());
         if (!others.isEmpty()) {
             publish();
         }
@@ -45,7 +46,7 @@
     /** Writes the own list if it has changed since. */
     void publish() {
         SiblingList list = scheduler.listForSibling();
-        if (list == null || list == written) {
+        if (list == null || list.isSameVersionAs(written)) {
             return;
         }
         try {
--- a/src/main/java/kelphollow/routing/SiblingList.java
+++ b/src/main/java/kelphollow/routing/SiblingList.java
@@ -14,4 +14,9 @@
     public SiblingList {
         usable = Map.copyOf(usable);
     }
+
+    /** Whether the other list, which may be null, has the same source and version. */
+    public boolean isSameVersionAs(SiblingList other) {
+        return other != null && version == other.version && source.equals(other.source);
+    }
 }
