Count both processes of an upgrade as one at nodes in slow start

Cause: the old process sent queued requests within its own quota, the new one within another. Change: after the hand-over the old process sends nothing to nodes in slow start; the new one does once what the old one sent no longer counts (the settings' fall time).

--- a/src/main/java/kelphollow/decision/ControlEvent.java
+++ b/src/main/java/kelphollow/decision/ControlEvent.java
@@ -165,6 +165,16 @@
         }
     }
 
+    /**
+     * This process sends from now on in place of another one of the same instance. What that one has sent to nodes in slow
+     * start counts within the same quota and is unknown, so they get nothing until it no longer counts.
+     */
+    record PredecessorReplaced() implements ControlEvent {
+        @Override public void accept(Handler handler) {
+            handler.predecessorReplaced(this);
+        }
+    }
+
     /**
      * An earlier process that this one replaces has ended without handing over its rate limits. What it spent is unknown, so
      * the limits refill from now on only.
@@ -177,7 +187,7 @@
 
     /**
      * This process hands its rate limits over to the process that replaces it. It keeps the tokens of queued requests that
-     * it can still send; everything else of a limited volume is rejected from now on.
+     * it can still send; everything else of a limited volume is rejected from now on, and nodes in slow start get nothing.
      */
     record LimitsHandedOver() implements ControlEvent {
         @Override public void accept(Handler handler) {
@@ -293,6 +303,9 @@
         /** Handles {@link LimitsRestored}. */
         void limitsRestored(LimitsRestored event);
 
+        /** Handles {@link PredecessorReplaced}. */
+        void predecessorReplaced(PredecessorReplaced event);
+
         /** Handles {@link LimitsNotHandedOver}. */
         void limitsNotHandedOver(LimitsNotHandedOver event);
 
--- a/src/main/java/kelphollow/decision/EventHandler.java
+++ b/src/main/java/kelphollow/decision/EventHandler.java
@@ -12,6 +12,7 @@
 import kelphollow.decision.ControlEvent.LimitsNotHandedOver;
 import kelphollow.decision.ControlEvent.LimitsRestored;
 import kelphollow.decision.ControlEvent.NodesSuspected;
+import kelphollow.decision.ControlEvent.PredecessorReplaced;
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.decision.ControlEvent.ResponseStarted;
 import kelphollow.decision.ControlEvent.RetryBudgetChanged;
@@ -112,12 +113,17 @@
         state.volumes.restore(event.tokens());
     }
 
+    @Override public void predecessorReplaced(PredecessorReplaced event) {
+        state.nodes.holdWarmingUp(state.now() + state.context.rules().overloadSpan());
+    }
+
     @Override public void limitsNotHandedOver(LimitsNotHandedOver event) {
         state.volumes.refillFrom(state.now());
     }
 
     @Override public void limitsHandedOver(LimitsHandedOver event) {
         limitHandover.handOver();
+        state.nodes.holdWarmingUp(Double.POSITIVE_INFINITY);
     }
 
     @Override public void shutdownStarted(ShutdownStarted event) {
--- a/src/main/java/kelphollow/decision/Node.java
+++ b/src/main/java/kelphollow/decision/Node.java
@@ -108,7 +108,8 @@
 
     /** Whether this particular request may be sent to this node now. */
     boolean hasCapacityFor(PendingRequest request) {
-        return hasCapacity() && (!isWarmingUp() || slowStart.admits(request, inFlight.isEmpty()));
+        return hasCapacity()
+            && (!isWarmingUp() || nodes.mayUseWarmingUp() && slowStart.admits(request, inFlight.isEmpty()));
     }
 
     /**
--- a/src/main/java/kelphollow/decision/NodeTable.java
+++ b/src/main/java/kelphollow/decision/NodeTable.java
@@ -21,6 +21,8 @@
     /** Settings of each node's retry budget. */
     private RetryBudgetChanged retryBudget = new RetryBudgetChanged(0, 0);
     private double leaseValidUntil = Double.POSITIVE_INFINITY;
+    /** Time until which nodes in slow start get nothing: another process of the instance sends to them. */
+    private double warmingUpHeldUntil = Double.NEGATIVE_INFINITY;
 
     NodeTable(DecisionContext context, FleetLatency fleet) {
         this.context = context;
@@ -70,6 +72,16 @@
         return context.now() < leaseValidUntil;
     }
 
+    /** Sends nothing to nodes in slow start until this time: another process uses their quota. */
+    void holdWarmingUp(double until) {
+        warmingUpHeldUntil = until;
+    }
+
+    /** Whether nodes in slow start may get requests, within their quota. */
+    boolean mayUseWarmingUp() {
+        return context.now() >= warmingUpHeldUntil;
+    }
+
     /** Drops a node that is gone, so that nodes with ever new ids do not fill memory. */
     void removeIfGone(Node node) {
         if (node.isGone()) {
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -82,14 +83,16 @@
         return hasInheritedSocket;
     }
 
-    /** Restores the tokens of the volumes' limits from the previous process; called before the first request. */
-    final void restoreLimits(Map<String, Double> tokens) {
-        loop.submit(() -> router.restoreLimits(tokens)).syncUninterruptibly();
-    }
-
-    /** The previous process has ended without handing over its limits; called before the first request. */
-    final void limitsNotHandedOver() {
-        loop.submit(() -> router.limitsNotHandedOver()).syncUninterruptibly();
+    /**
+     * Takes over from the process that has served so far; called before the first request.
+     *
+     * @param tokens those of the volumes' limits, or nothing if they were not handed over
+     */
+    final void takeOver(Optional<Map<String, Double>> tokens) {
+        loop.submit(() -> {
+            router.predecessorReplaced();
+            tokens.ifPresentOrElse(router::restoreLimits, router::limitsNotHandedOver);
+        }).syncUninterruptibly();
     }
 
     /** Runs {@code step} on the event loop, which owns the router, and completes with its result. */
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -116,7 +116,7 @@
                 LOG.info(() -> "waits for process " + predecessor + " to hand over its limits");
                 Optional<Map<String, Double>> tokens = management.handover().await(predecessor, HANDOVER_TIMEOUT_MS);
                 management.readSiblingList();
-                tokens.ifPresentOrElse(scheduler::restoreLimits, scheduler::limitsNotHandedOver);
+                scheduler.takeOver(tokens);
             }
         }
         return scheduler.listen(channel);
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -12,6 +12,7 @@
 import kelphollow.decision.ControlEvent.LimitsNotHandedOver;
 import kelphollow.decision.ControlEvent.LimitsRestored;
 import kelphollow.decision.ControlEvent.NodesSuspected;
+import kelphollow.decision.ControlEvent.PredecessorReplaced;
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.decision.ControlEvent.RetryBudgetChanged;
 import kelphollow.decision.ControlEvent.SettingsChanged;
@@ -83,6 +84,11 @@
         decisions.handle(new SettingsChanged(classes, maxAttempts));
     }
 
+    /** This process sends from now on in place of another one of the same instance; called before the first request. */
+    public void predecessorReplaced() {
+        decisions.handle(new PredecessorReplaced());
+    }
+
     /** Restores the tokens that an earlier process left of volumes' limits; called before the first request. */
     public void restoreLimits(Map<String, Double> tokens) {
         decisions.handle(new LimitsRestored(tokens));
--- a/src/test/java/kelphollow/decision/WarmingUpNodeTest.java
+++ b/src/test/java/kelphollow/decision/WarmingUpNodeTest.java
@@ -13,6 +13,8 @@
 import kelphollow.decision.ControlEvent.AttemptOutcome;
 import kelphollow.decision.ControlEvent.EndpointState;
 import kelphollow.decision.ControlEvent.EndpointsReceived;
+import kelphollow.decision.ControlEvent.LimitsHandedOver;
+import kelphollow.decision.ControlEvent.PredecessorReplaced;
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.decision.ControlSettings.Rules;
 import org.junit.jupiter.api.Test;
@@ -110,4 +112,31 @@
         assertEquals(1, sentToANodeInSlowStart(false));
         assertEquals(2, sentToANodeInSlowStart(true));
     }
+
+    private static ControlHarness withNodeInSlowStart() {
+        ControlHarness scheduler = new ControlHarness(false, 50_000);
+        scheduler.on(new EndpointsReceived(List.of(node("n0", 0, EndpointState.HEALTHY, 49_990)), true, true));
+        return scheduler;
+    }
+
+    @Test void aProcessThatHasHandedOverSendsNothingToANodeInSlowStart() {
+        ControlHarness scheduler = withNodeInSlowStart();
+        scheduler.on(new LimitsHandedOver());
+
+        scheduler.request("r", "read", "free", "v", 1, 0);
+
+        assertEquals(0, scheduler.sent().size());
+    }
+
+    @Test void aProcessThatHasTakenOverSendsToANodeInSlowStartOnceThePredecessorsRequestsNoLongerCount() {
+        ControlHarness scheduler = withNodeInSlowStart();
+        scheduler.on(new PredecessorReplaced());
+        scheduler.advanceTo(scheduler.now + 900);
+        scheduler.request("r", "read", "free", "v", 1, 0);
+        assertEquals(0, scheduler.sent().size(), "within the span in which requests are counted");
+
+        scheduler.advanceTo(scheduler.now + 200);
+
+        assertEquals(1, scheduler.sent().size());
+    }
 }
