Stop using a pushed list once the agent's answer cannot be read for the grace

Cause: what the agent has counts as notified at once, whether or not it could be read, but the lease ran on for up to 5.85 s after an unreadable answer. Change: after an unreadable answer of an agent the list is used for the grace of draining nodes less the local delay, until the next list or until the service is found down. A silent or broken watch changes nothing. Also: the soak ends an upgrade that is under way at the end of a run; it waited for ever for a process that nobody had told to end.

--- a/src/main/java/kelphollow/decision/EndpointListLease.java
+++ b/src/main/java/kelphollow/decision/EndpointListLease.java
@@ -31,15 +31,6 @@
         EXPIRED
     }
 
-    /** Consecutive failures after which an instance that has just started takes the service as down. */
-    static final int FAILURES_AT_START = 2;
-    /**
-     * Duration of the burst of calls after a start of all instances, as a multiple of the time over which
-     * their first calls are spread.
-     */
-    static final double SPREADS_PER_STARTUP_BURST = 2;
-    /** Upper bound of the assumed duration of a startup burst. */
-    static final double MAX_STARTUP_BURST_MS = 30_000;
     /** Time after which a change counts as notified once the list comes from another service. */
     static final double NEW_SOURCE_NOTIFIED_AFTER_MS = 4_000;
 
@@ -47,8 +38,9 @@
 
     private final double term;
     private final double notifiedAfter;
-    private final boolean pushed;
-    private final double startupBurst;
+    private final OutageDetector outages;
+    /** Pushed lists: time for which the list may be used after an unreadable answer. */
+    private final double unreadableTerm;
     private double confirmedUpTo = NEVER;
     private double downAt = NEVER;
     /**
@@ -56,14 +48,15 @@
      * if the source has not changed.
      */
     private double sourceChangeBound = Double.POSITIVE_INFINITY;
-    private int failures;
-    private double firstFailureAt;
+    /** Pushed lists: time of the first unreadable answer since the last list; infinity if none. */
+    private double unreadableSince = Double.POSITIVE_INFINITY;
 
-    private EndpointListLease(double notifiedAfter, double localDelay, boolean pushed, double startupBurst) {
+    private EndpointListLease(double notifiedAfter, double localDelay, OutageDetector outages,
+        double unreadableTerm) {
         this.notifiedAfter = notifiedAfter;
         this.term = notifiedAfter - localDelay;
-        this.pushed = pushed;
-        this.startupBurst = startupBurst;
+        this.outages = outages;
+        this.unreadableTerm = unreadableTerm;
     }
 
     /**
@@ -75,23 +68,29 @@
      * @param instances number of instances that poll the service; determines the duration of a startup burst
      */
     public static EndpointListLease polled(double notifiedAfter, double localDelay, int instances) {
-        double burst = SPREADS_PER_STARTUP_BURST * instances * EndpointPollSchedule.SPREAD_PER_INSTANCE_MS;
-        return new EndpointListLease(notifiedAfter, localDelay, false, Math.min(MAX_STARTUP_BURST_MS, burst));
+        return new EndpointListLease(notifiedAfter, localDelay, OutageDetector.polled(instances),
+            Double.POSITIVE_INFINITY);
     }
 
     /**
      * Creates a lease for a list that an agent on the same machine receives and forwards at once. The agent
      * is silent only while the service is down; a refused connection shows at once that there is no agent.
+     * What the agent has counts as notified at once, so after an answer that cannot be read the list may be
+     * used for the grace of draining nodes only.
+     *
+     * @param drainGrace time for which a draining node may still get requests
      */
-    public static EndpointListLease pushed(double notifiedAfter, double localDelay) {
-        return new EndpointListLease(notifiedAfter, localDelay, true, 0);
+    public static EndpointListLease pushed(double notifiedAfter, double localDelay, double drainGrace) {
+        return new EndpointListLease(notifiedAfter, localDelay, OutageDetector.pushed(),
+            Math.max(0, drainGrace - localDelay));
     }
 
     /**
      * Creates a lease that never ends, for a list without an authoritative source, such as a configured list.
      */
     public static EndpointListLease unbounded() {
-        EndpointListLease lease = new EndpointListLease(0, 0, true, 0);
+        EndpointListLease lease = new EndpointListLease(0, 0, OutageDetector.pushed(),
+            Double.POSITIVE_INFINITY);
         lease.confirmedUpTo = Double.POSITIVE_INFINITY;
         return lease;
     }
@@ -100,54 +99,35 @@
     public void confirmed(double asOf) {
         confirmedUpTo = Math.max(confirmedUpTo, asOf);
         sourceChangeBound = Double.POSITIVE_INFINITY;
-        failures = 0;
+        unreadableSince = Double.POSITIVE_INFINITY;
+        outages.reset();
     }
 
     /** A call made at {@code calledAt} failed after {@code duration}. */
     public void failed(EndpointPollFailure failure, double calledAt, double duration) {
-        if (!showsServiceDown(failure, duration)) {
-            failures = failure == EndpointPollFailure.WATCH_BROKEN ? failures : 0;
+        if (!outages.isEvidence(failure, calledAt, duration)) {
+            if (failure == EndpointPollFailure.INVALID_RESPONSE) {
+                unreadableSince = Math.min(unreadableSince, calledAt + duration);
+            }
             return;
         }
-        firstFailureAt = failures == 0 ? calledAt : firstFailureAt;
-        failures++;
-        if (confirmedUpTo > NEVER || showsServiceDownAtStart(failure, calledAt + duration)) {
+        unreadableSince = Double.POSITIVE_INFINITY;
+        if (confirmedUpTo > NEVER || outages.isDownAtStart(failure, calledAt + duration)) {
             downAt = Math.max(downAt, calledAt);
         }
     }
 
-    private boolean showsServiceDownAtStart(EndpointPollFailure failure, double now) {
-        if (pushed && failure == EndpointPollFailure.UNREACHABLE) {
-            return true;
-        }
-        return failures >= FAILURES_AT_START && now - firstFailureAt >= startupBurst;
-    }
-
-    /**
-     * Whether a failure shows that the service is down: the call that starts a watch was refused, reset, or
-     * rejected after it had been queued; or it timed out, if the list is pushed. For a polled list a timeout
-     * counts as a broken watch, and a call that is rejected immediately has found a full queue: the service
-     * is up, and its changes count as notified.
-     */
-    private boolean showsServiceDown(EndpointPollFailure failure, double duration) {
-        return switch (failure) {
-            case UNREACHABLE -> true;
-            case TIMED_OUT -> pushed;
-            case REJECTED -> duration >= EndpointPollSchedule.IMMEDIATE_REJECTION_MS;
-            case WATCH_BROKEN, INVALID_RESPONSE -> false;
-        };
-    }
-
     /** The list comes from another service from {@code now} on, whose changes count as notified sooner. */
     public void sourceChanged(double now) {
         sourceChangeBound = Math.min(sourceChangeBound, now + NEW_SOURCE_NOTIFIED_AFTER_MS - notifiedAfter);
         downAt = Math.min(downAt, sourceChangeBound);
-        failures = 0;
+        outages.reset();
     }
 
     /** Time until which the list may be used. */
     public double validUntil() {
-        return Math.min(Math.max(confirmedUpTo, downAt), Math.max(sourceChangeBound, downAt)) + term;
+        double byAge = Math.min(Math.max(confirmedUpTo, downAt), Math.max(sourceChangeBound, downAt)) + term;
+        return Math.min(byAge, unreadableSince + unreadableTerm);
     }
 
     /** Whether the list may be used at time {@code now}. */
--- a/src/main/java/kelphollow/lab/soak/ServeProcess.java
+++ b/src/main/java/kelphollow/lab/soak/ServeProcess.java
@@ -260,19 +260,21 @@
         new ProcessBuilder("kill", "-" + signal, Long.toString(to.pid())).start().waitFor();
     }
 
-    /** Sends SIGTERM, unless it was sent before or the process has exited. */
+    /** Sends SIGTERM, unless it was sent before or the process has exited; during an upgrade to the old process. */
     void terminateIfRunning() {
-        if (run.isAlive() && !run.isTerminating()) {
-            terminate();
+        InstanceRun oldest = predecessor == null ? run : predecessor;
+        if (oldest.isAlive() && !oldest.isTerminating()) {
+            serving = false;
+            oldest.terminate();
         }
     }
 
-    /** Waits for the exit, and records it also for a process that exited by itself. */
+    /** Ends an upgrade, waits for the exit, and records it also for a process that exited by itself. */
     void awaitExit() throws InterruptedException {
-        while (isUpgrading() && !hasPredecessorExited()) {
-            hasExited();
+        while (!hasPredecessorExited()) {
             Thread.sleep(POLL_MS);
         }
+        terminateIfRunning();
         while (!hasExited()) {
             Thread.sleep(POLL_MS);
         }
--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -89,7 +89,8 @@
         return settings.endpointsPolled()
             ? EndpointListLease.polled(EndpointUpdateBudget.NOTIFIED_AFTER_MS, EndpointUpdateBudget.LOCAL_DELAY_MS, settings
                 .instances())
-            : EndpointListLease.pushed(EndpointUpdateBudget.NOTIFIED_AFTER_MS, EndpointUpdateBudget.LOCAL_DELAY_MS);
+            : EndpointListLease.pushed(EndpointUpdateBudget.NOTIFIED_AFTER_MS, EndpointUpdateBudget.LOCAL_DELAY_MS,
+                settings.rules().drainGrace());
     }
 
     private DiscoveryWatch watch(RequestRouter router, long version) {
--- a/src/test/java/kelphollow/decision/EndpointListLeaseTest.java
+++ b/src/test/java/kelphollow/decision/EndpointListLeaseTest.java
@@ -15,6 +15,7 @@
     private static final double NOTIFIED_AFTER = 6_000;
     private static final double LATENESS = 150;
     private static final double TERM = NOTIFIED_AFTER - LATENESS;
+    private static final double DRAIN_GRACE = 250;
     /** Duration of a call that was queued at the service before it failed. */
     private static final double QUEUED = 2_000;
 
@@ -35,17 +36,31 @@
     }
 
     @Test void pushedLeaseStartsAfterTheAgentAnswersOrTimesOutTwice() {
-        EndpointListLease pushed = EndpointListLease.pushed(NOTIFIED_AFTER, LATENESS);
+        EndpointListLease pushed = EndpointListLease.pushed(NOTIFIED_AFTER, LATENESS, DRAIN_GRACE);
         assertFalse(pushed.isValid(500));
         pushed.failed(EndpointPollFailure.TIMED_OUT, 500, 2_300);
         assertFalse(pushed.isValid(2_800), "a change received by the agent before the start may already count as notified");
         pushed.failed(EndpointPollFailure.TIMED_OUT, 2_900, 2_300);
         assertTrue(pushed.isValid(2_900 + TERM - 1), "an agent is silent only while the service is down");
-        EndpointListLease alone = EndpointListLease.pushed(NOTIFIED_AFTER, LATENESS);
+        EndpointListLease alone = EndpointListLease.pushed(NOTIFIED_AFTER, LATENESS, DRAIN_GRACE);
         alone.failed(EndpointPollFailure.UNREACHABLE, 500, 1);
         assertTrue(alone.isValid(501), "no agent is running");
     }
 
+    @Test void pushedListIsUsedForNoLongerThanTheGraceAfterAnAnswerThatCannotBeRead() {
+        EndpointListLease pushed = EndpointListLease.pushed(NOTIFIED_AFTER, LATENESS, DRAIN_GRACE);
+        pushed.confirmed(1_000);
+        pushed.failed(EndpointPollFailure.WATCH_BROKEN, 1_500, 500);
+        assertTrue(pushed.isValid(2_500), "a silent watch may mean that the service is down");
+        pushed.failed(EndpointPollFailure.INVALID_RESPONSE, 2_500, 5);
+        pushed.failed(EndpointPollFailure.INVALID_RESPONSE, 2_600, 5);
+
+        assertTrue(pushed.isValid(2_505 + DRAIN_GRACE - LATENESS - 1));
+        assertFalse(pushed.isValid(2_505 + DRAIN_GRACE - LATENESS), "the agent may have had a change in its first answer");
+        pushed.confirmed(2_700);
+        assertTrue(pushed.isValid(2_700 + TERM - 1));
+    }
+
     @Test void failuresOfAServiceThatIsUpDoNotRenewTheLease() {
         polled.confirmed(0);
         for (EndpointPollFailure failure : List.of(EndpointPollFailure.WATCH_BROKEN, EndpointPollFailure.INVALID_RESPONSE,
