Keep the shutdown schedule of the settings in force across two SIGHUPs in a row

Cause: a reload set the earlier of the last two configurations read, so a second SIGHUP within 1.2 s dropped the schedule of the settings that were still in force. Change: a reload takes the earlier of the schedule set and the new one. Result: GracefulShutdownTest.theScheduleOfTheSettingsInForceSurvivesTwoReloadsInARow, which waits in vain for the close without the change.

--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -46,8 +46,6 @@
     /** The classes and attempt limit that apply after the activation delay of the last reload. */
     private SettingsReload.RequestSettings requestSettings;
     private Ticker.Timeout pendingActivation;
-    /** Of the settings that were read last. */
-    private ShutdownSchedule shutdownSchedule;
     private Ticker.Timeout pendingSchedule;
 
     private PlatformScheduler(PlatformConfig config, EventLoop loop, Ticker ticker) {
@@ -80,7 +78,6 @@
         front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
             ClientMemory.ofHeap());
         requestSettings = requestSettings(settings);
-        shutdownSchedule = shutdownSchedule(settings.classes());
         setComponents(router, front);
     }
 
@@ -184,10 +181,9 @@
         });
     }
 
-    /** Until the new settings take effect the platform may count by either; a class that has vanished no longer counts. */
+    /** Until the new settings take effect the platform may count by them or by any that have not been replaced yet. */
     private void reloadShutdownSchedule(ShutdownSchedule next) {
-        setShutdownSchedule(shutdownSchedule.earlier(next));
-        shutdownSchedule = next;
+        setShutdownSchedule(shutdownSchedule().earlier(next));
         if (pendingSchedule != null) {
             pendingSchedule.cancel();
         }
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -148,6 +148,11 @@
         return (hasInheritedSocket ? shutdown.acceptingNothing() : shutdown).acceptFor();
     }
 
+    /** The schedule of a later shutdown. */
+    final ShutdownSchedule shutdownSchedule() {
+        return shutdown;
+    }
+
     /** Replaces the schedule of a later shutdown; called on the loop. */
     final void setShutdownSchedule(ShutdownSchedule schedule) {
         shutdown = schedule;
--- a/src/test/java/kelphollow/program/GracefulShutdownTest.java
+++ b/src/test/java/kelphollow/program/GracefulShutdownTest.java
@@ -59,6 +59,28 @@
         }
     }
 
+    /** Guards against connections that SIGKILL finds open, because a second SIGHUP drops the schedule in force. */
+    @Test void theScheduleOfTheSettingsInForceSurvivesTwoReloadsInARow() throws Exception {
+        try (ServerHarness harness = ServerHarness.resp(null, new InetSocketAddress("127.0.0.1", 1));
+             Socket client = new Socket(harness.address.getAddress(), harness.address.getPort())) {
+            client.setSoTimeout(10_000);
+            assertEquals("+PONG\r\n", ping(client));
+            harness.reloadWithoutLongerDeadlines(1_200);
+            harness.ticker.advance(6_000);
+            harness.reloadWithoutLongerDeadlines(Double.POSITIVE_INFINITY);
+            harness.ticker.advance(600);
+            harness.reloadWithoutLongerDeadlines(Double.POSITIVE_INFINITY);
+            harness.ticker.advance(300);
+
+            harness.sigterm(() -> {});
+            harness.ticker.advance(1_350);
+            assertEquals("+PONG\r\n", ping(client));
+            harness.ticker.advance(60);
+
+            assertEquals(-1, client.getInputStream().read(), "the first settings are in force until 1.2 s after a reload");
+        }
+    }
+
     /** Requests queued, sent to a hanging node or received after SIGTERM are answered 350 ms before SIGKILL. */
     @Test void requestsThatWaitForHangingNodesAreAnsweredBeforeTheKill() throws Exception {
         try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
