--- a/src/main/java/kelphollow/lab/soak/FaultInjector.java
+++ b/src/main/java/kelphollow/lab/soak/FaultInjector.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import kelphollow.lab.soak.SoakDiscovery.ListedNode;
 
 /** Injects the faults of a run at their times and ends each after its duration. Not thread-safe. */
@@ -41,6 +43,8 @@
     private final List<SoakNode> nodes;
     private final List<ServeProcess> instances;
     private final Random random;
+    /** Instances whose new process has not reported that it is ready. */
+    private final Set<Integer> unfinishedUpgrades = new HashSet<>();
     /** The discovery address of each instance. */
     private final Map<Integer, InetSocketAddress> addresses = new HashMap<>();
     private final PriorityQueue<DueTask> dueTasks = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
@@ -186,6 +190,7 @@
         if (instance.isServing() && !instance.isUpgrading()) {
             instance.configure(addresses.get(target), discovery.lastListOf(target), random.nextLong() & Long.MAX_VALUE);
             instance.startSuccessor();
+            unfinishedUpgrades.add(target);
             SignalSeries[] all = SignalSeries.values();
             SignalSeries series = all[random.nextInt(all.length)];
             schedule(RESTART_POLL_MS, () -> endUpgradeOnceReady(target, series));
@@ -202,6 +207,7 @@
         if (overdue) {
             history.add(new SoakHistory.FaultLogged("n" + target + ": the new process is not ready in time"));
         }
+        unfinishedUpgrades.remove(target);
         history.add(new SoakHistory.Upgrade(target, instance.startedAt(), history.now()));
         if (series == SignalSeries.RELOAD_THEN_TERM) {
             instance.signalPredecessor("HUP");
@@ -214,6 +220,13 @@
         schedule(RESTART_POLL_MS, () -> awaitPredecessorExit(target, series));
     }
 
+    /** Records the upgrades whose new process was not ready at the end of the run. */
+    void recordUnfinishedUpgrades() {
+        for (int target : unfinishedUpgrades) {
+            history.add(new SoakHistory.Upgrade(target, instances.get(target).startedAt(), Double.POSITIVE_INFINITY));
+        }
+    }
+
     private void awaitPredecessorExit(int target, SignalSeries series) throws Exception {
         if (!instances.get(target).hasPredecessorExited()) {
             schedule(RESTART_POLL_MS, () -> awaitPredecessorExit(target, series));
--- a/src/main/java/kelphollow/lab/soak/Soak.java
+++ b/src/main/java/kelphollow/lab/soak/Soak.java
@@ -139,6 +139,7 @@
     }
 
     private void stopAll() throws InterruptedException {
+        injector.recordUnfinishedUpgrades();
         for (ServeProcess instance : instances) {
             instance.terminateIfRunning();
         }
--- a/src/main/java/kelphollow/lab/soak/SoakChecker.java
+++ b/src/main/java/kelphollow/lab/soak/SoakChecker.java
@@ -143,7 +143,8 @@
         for (AttemptArrived attempt : attempts) {
             RequestEnded end = ends.get(attempt.id());
             if (end != null && attempt.at() > end.at() + CLIENT_LEFT_SLACK_MS + slack) {
-                addBreach("lost", attempt.at(), attempt.id() + " reached " + attempt.node() + " after its end: " + end);
+                addBreach("lost", attempt.at(), attempt.id() + " reached " + attempt.node() + " after its end: " + end
+                    + "; sent: " + requests.get(attempt.id()) + "; attempts: " + attemptsOf.get(attempt.id()));
             }
         }
     }
--- a/src/main/java/kelphollow/lab/soak/SoakHistory.java
+++ b/src/main/java/kelphollow/lab/soak/SoakHistory.java
@@ -44,7 +44,7 @@
 
     /**
      * A process of an instance was replaced: the next one was started, reported that it was ready, and then the other got
-     * SIGTERM.
+     * SIGTERM; {@code readyAt} is infinite if the run ended before that.
      */
     record Upgrade(int instance, double startedAt, double readyAt) implements Event {}
 
