Soak: keep the clients of an ended run away from the next one's ports

Cause, by reading: a client whose first connection ended near the end of a run sent its request once more, up to 14 s later, to a port of the ephemeral range that the next run's socket had been given; requests of all runs have the same names. Change: no second connection once the run closes; listening sockets take ports below the ephemeral range.

--- a/src/main/java/kelphollow/lab/soak/InheritedSocket.java
+++ b/src/main/java/kelphollow/lab/soak/InheritedSocket.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import kelphollow.lab.Ports;
 
 /**
  * A listening socket for clients that every process started here inherits as descriptor 0, as the platform provides it on
@@ -29,10 +30,9 @@
         use strict; use Socket; use POSIX qw(dup2 WNOHANG);
         $| = 1;
         socket(my $listener, PF_INET, SOCK_STREAM, 0) or die "socket: $!";
-        bind($listener, sockaddr_in(0, INADDR_LOOPBACK)) or die "bind: $!";
+        bind($listener, sockaddr_in($ARGV[0], INADDR_LOOPBACK)) or die "bind: $!";
         listen($listener, 512) or die "listen: $!";
-        my ($port) = sockaddr_in(getsockname($listener));
-        print "port $port\\n";
+        print "listening\\n";
         my %children;
         my $input = '';
         while (1) {
@@ -62,6 +62,9 @@
         kill 'KILL', keys %children;
         """;
 
+    /** Below the ephemeral range: clients of another run must not reach this one at a port that both were given. */
+    private static final Ports PORTS = new Ports();
+
     private final Process launcher;
     private final Writer commands;
     private final InetSocketAddress address;
@@ -70,14 +73,14 @@
 
     /** Opens the socket on a free port of the loopback address. */
     public InheritedSocket() throws IOException {
-        launcher = new ProcessBuilder("perl", "-e", LAUNCHER).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        address = new InetSocketAddress("127.0.0.1", PORTS.free());
+        launcher = new ProcessBuilder("perl", "-e", LAUNCHER, Integer.toString(address.getPort())).redirectError(
+            ProcessBuilder.Redirect.INHERIT).start();
         commands = launcher.outputWriter();
         BufferedReader reports = launcher.inputReader();
-        String first = reports.readLine();
-        if (first == null) {
-            throw new IOException("perl has not opened a listening socket");
+        if (reports.readLine() == null) {
+            throw new IOException("perl has not opened a listening socket at " + address);
         }
-        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(first.substring("port ".length())));
         SoakThreads.start("inherited socket", () -> readReports(reports));
     }
 
--- a/src/main/java/kelphollow/lab/soak/SoakClients.java
+++ b/src/main/java/kelphollow/lab/soak/SoakClients.java
@@ -127,7 +127,7 @@
                     return;
                 }
                 disconnect();
-                if (attempt > 0 || !connect()) {
+                if (attempt > 0 || closing || !connect()) {
                     history.add(new RequestEnded(history.now(), id, outcome));
                     return;
                 }
--- a/src/main/java/kelphollow/lab/soak/SoakNode.java
+++ b/src/main/java/kelphollow/lab/soak/SoakNode.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import java.util.Set;
@@ -174,7 +175,11 @@
     @Override public void close() throws IOException {
         listener.close();
         for (Socket socket : openSockets) {
-            socket.setSoLinger(true, 0);
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                continue;                  // its thread has closed it meanwhile
+            }
             socket.close();
         }
     }
