Remove the files of ended processes at a start, and a lock file without its lock

The shared folder counts as memory, and each upgrade left a list of all nodes in it. A lock file whose lock could not be taken would make a live process look dead: it is removed, so that the liveness file counts. The failure is logged once. Result: ProcessHandoverTest.filesOfEndedProcessesAreRemovedAtTheNextStart.

--- a/src/main/java/kelphollow/program/LivenessLock.java
+++ b/src/main/java/kelphollow/program/LivenessLock.java
@@ -19,25 +19,42 @@
     private final Path file;
     /** Open as long as the process runs. */
     private FileChannel held;
+    private boolean failureLogged;
 
     LivenessLock(Path file) {
         this.file = file;
     }
 
-    /** Takes the lock and keeps it until the process ends. Without it other processes judge by the liveness file alone. */
+    /**
+     * Takes the lock and keeps it until the process ends. If that fails the file is removed, so that other processes judge
+     * by the liveness file alone.
+     */
     void hold() {
         try {
             FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            if (channel.tryLock() == null) {
-                channel.close();
-                throw new IOException("held by another process");
+            try {
+                if (channel.tryLock() != null) {
+                    held = channel;
+                }
+            } finally {
+                if (held == null) {
+                    channel.close();
+                    Files.deleteIfExists(file);
+                }
             }
-            held = channel;
         } catch (IOException | OverlappingFileLockException e) {
-            LOG.warning("liveness lock " + file + " not taken: " + e.getMessage());
+            if (!failureLogged) {
+                failureLogged = true;
+                LOG.warning("liveness lock " + file + " not taken, tried again: " + e.getMessage());
+            }
         }
     }
 
+    /** Removes the file of a process that has ended. */
+    void remove() throws IOException {
+        Files.deleteIfExists(file);
+    }
+
     boolean isHeldHere() {
         return held != null;
     }
--- a/src/main/java/kelphollow/program/Management.java
+++ b/src/main/java/kelphollow/program/Management.java
@@ -48,8 +48,7 @@
         this.loop = loop;
         this.file = new MaintenanceFile(maintenanceFile);
         this.handover = new ProcessHandover(maintenanceFile.getParent(), ProcessHandle.current().pid());
-        this.siblings = replaceable ? new SiblingLists(scheduler, handover, maintenanceFile.getParent(),
-            ProcessHandle.current().pid()) : null;
+        this.siblings = replaceable ? new SiblingLists(scheduler, handover, ProcessHandle.current().pid()) : null;
     }
 
     /** Applies an earlier process's maintenance before the scheduler listens; starts polling and the liveness updates. */
--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -27,6 +27,7 @@
     private static final String HANDOVER_PREFIX = "kelphollow-handover-";
     private static final String TEMPORARY_PREFIX = "kelphollow-handover.part-";
     private static final String TAKEN_PREFIX = "kelphollow-taken-";
+    private static final String LIST_PREFIX = "kelphollow-endpoints-";
     private static final long ALIVE_TIMEOUT_MS = 1_000;
     private static final long POLL_INTERVAL_MS = 20;
     private static final double NANOS_PER_MS = 1e6;
@@ -59,10 +60,36 @@
         return folder.resolve(TAKEN_PREFIX + process);
     }
 
-    /** Removes what an ended process of the same id has left, which would be taken for this process's hand-over. */
+    /** The endpoint list that a process keeps for the other one of an upgrade. */
+    Path listFile(long process) {
+        return folder.resolve(LIST_PREFIX + process);
+    }
+
+    /**
+     * Removes what an ended process of the same id has left, which would be taken for this process's hand-over, and the
+     * files of other ended processes but for a hand-over that was not taken. The folder counts as memory.
+     */
     void removeLeftovers() throws IOException {
         Files.deleteIfExists(handoverFile(pid));
         Files.deleteIfExists(takenFile(pid));
+        for (long process : processes()) {
+            if (process != pid && !isAlive(process)) {
+                Files.deleteIfExists(aliveFile(process));
+                Files.deleteIfExists(takenFile(process));
+                Files.deleteIfExists(listFile(process));
+                liveness(process).remove();
+            }
+        }
+    }
+
+    /** All processes that have a liveness file. */
+    private Set<Long> processes() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
+                .map(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length()))).collect(Collectors.toSet());
+        } catch (NumberFormatException e) {
+            throw new IOException("a liveness file is not named by a process id", e);
+        }
     }
 
     /**
@@ -86,11 +113,9 @@
 
     /** Returns all other live processes. */
     Set<Long> others() {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(ALIVE_PREFIX))
-                .map(name -> Long.parseLong(name.substring(ALIVE_PREFIX.length())))
-                .filter(process -> process != pid && isAlive(process)).collect(Collectors.toSet());
-        } catch (IOException | NumberFormatException e) {
+        try {
+            return processes().stream().filter(process -> process != pid && isAlive(process)).collect(Collectors.toSet());
+        } catch (IOException e) {
             return Set.of();
         }
     }
--- a/src/main/java/kelphollow/program/SiblingLists.java
+++ b/src/main/java/kelphollow/program/SiblingLists.java
@@ -1,7 +1,6 @@
 package kelphollow.program;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -14,21 +13,19 @@
  */
 final class SiblingLists {
     private static final Logger LOG = Logger.getLogger(SiblingLists.class.getName());
-    private static final String PREFIX = "kelphollow-endpoints-";
 
     private final Scheduler scheduler;
     private final ProcessHandover processes;
-    private final Path folder;
     private final SiblingListFile own;
     private final Map<Long, SiblingListFile> siblings = new HashMap<>();
     /** The list last written, or null. */
     private SiblingList written;
 
-    SiblingLists(Scheduler scheduler, ProcessHandover processes, Path folder, long pid) {
+    /** {@code pid} is the id of this process. */
+    SiblingLists(Scheduler scheduler, ProcessHandover processes, long pid) {
         this.scheduler = scheduler;
         this.processes = processes;
-        this.folder = folder;
-        this.own = new SiblingListFile(folder.resolve(PREFIX + pid));
+        this.own = new SiblingListFile(processes.listFile(pid));
     }
 
     /** Writes the own list if it has changed and reads those of other live processes; returns whether there is one. */
@@ -58,7 +55,7 @@
     }
 
     private void read(long process) {
-        SiblingListFile file = siblings.computeIfAbsent(process, id -> new SiblingListFile(folder.resolve(PREFIX + id)));
+        SiblingListFile file = siblings.computeIfAbsent(process, id -> new SiblingListFile(processes.listFile(id)));
         try {
             SiblingList list = file.readChange();
             if (list != null) {
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -112,4 +115,18 @@
         assertEquals(-1, process(NEXT_PID).predecessor());
         assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 60_000));
     }
+
+    @Test void filesOfEndedProcessesAreRemovedAtTheNextStart() throws Exception {
+        for (String name : List.of("alive-", "lock-", "taken-", "endpoints-")) {
+            Files.writeString(folder.resolve("kelphollow-" + name + OLD_PID), "");
+        }
+        process(NEXT_PID).showAlive();
+
+        process(THIRD_PID).removeLeftovers();
+
+        try (Stream<Path> left = Files.list(folder)) {
+            assertEquals(Set.of("kelphollow-alive-200", "kelphollow-lock-200"),
+                left.map(file -> file.getFileName().toString()).collect(Collectors.toSet()));
+        }
+    }
 }
