Log why client connections close, what clients hold, and which client's request is meant

Change: CloseReason and ConnectionLog count each close by reason and log those with requests open; replies given up after they had begun are logged with what had arrived; attempts carry the client's id; the counters gain the longest stall, the open requests and the number of volumes; client memory, heap and direct memory every 10 s.

--- a/src/main/java/kelphollow/decision/Control.java
+++ b/src/main/java/kelphollow/decision/Control.java
@@ -108,7 +108,7 @@
     }
 
     /** Number of volumes in memory. */
-    int volumeCount() {
+    public int volumeCount() {
         return state.volumes.size();
     }
 }
--- a/src/main/java/kelphollow/program/ObjectScheduler.java
+++ b/src/main/java/kelphollow/program/ObjectScheduler.java
@@ -120,7 +120,9 @@
         }
         router.start(source, false);   // xDS by REST is always polled; settings.discovery applies only to the platform
         router.restoreLimits(limits);
-        setComponents(router, new ObjectFront(router, ticker(), config.options(), ledger, ClientMemory.ofHeap()));
+        ObjectFront front = new ObjectFront(router, ticker(), config.options(), ledger, ClientMemory.ofHeap());
+        front.startLog();
+        setComponents(router, front);
     }
 
     private XdsPoller poll(ObjectConfig config, ClusterConfig.Polled polled, RequestRouter router) {
--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -77,6 +77,7 @@
         router.start(watch, pushed);
         front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
             ClientMemory.ofHeap());
+        front.startLog();
         requestSettings = requestSettings(settings);
         setComponents(router, front);
     }
--- a/src/main/java/kelphollow/protocol/object/ObjectConnection.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectConnection.java
@@ -9,6 +9,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import kelphollow.routing.Invariant;
+import kelphollow.transport.CloseReason;
 
 /**
  * A client's connection, with one exchange at a time. It reads on demand, so that bodies do not pile up in memory. While a
@@ -39,6 +40,8 @@
     private boolean readAheadScheduled;
     /** Whether the connection closes or is closed; how it is read is no longer changed here. */
     private boolean closing;
+    /** Why the connection is closed; null while it serves, or if the client closes it. */
+    private CloseReason closeReason;
 
     ObjectConnection(ObjectFront front, ObjectServices services, Channel channel) {
         this.front = front;
@@ -53,7 +56,7 @@
         double delay = isIdle() ? idleTracker.remaining() : services.options().stallTimeout();
         services.ticker().after(delay, () -> {
             if (isIdle() && idleTracker.hasExpired()) {
-                close();
+                close(CloseReason.IDLE);
             } else if (channel.isOpen()) {
                 scheduleIdleCheck();
             }
@@ -182,7 +185,7 @@
         updateReadAhead();
         idleTracker.restart();
         if (!keepAlive || !bodyRead || front.isShuttingDown()) {
-            close();
+            close(front.isShuttingDown() ? CloseReason.SHUTDOWN : CloseReason.LAST_RESPONSE);
         } else if (next != null) {
             scheduleBegin();
         } else {
@@ -200,22 +203,46 @@
         return idleTracker.idleSince();
     }
 
-    void closeIfIdle() {
+    void closeIfIdle(CloseReason reason) {
         if (isIdle()) {
-            close();
+            close(reason);
         }
     }
 
     /** Closes the connection once the last response is written; requests that arrive meanwhile are discarded. */
-    void close() {
+    private void close(CloseReason reason) {
+        closesFor(reason);
         next = null;
         closing = true;
         inbound.release();
-        if (front.remove(this)) {
+        if (remove()) {
             front.lingeringClose(channel);
         }
     }
 
+    /** Closes the connection at once, which shows the client that the response on it is truncated. */
+    void abort(CloseReason reason) {
+        closesFor(reason);
+        channel.close();
+    }
+
+    /** Records why the connection closes, unless a reason is known already. */
+    private void closesFor(CloseReason reason) {
+        if (closeReason == null) {
+            closeReason = reason;
+        }
+    }
+
+    /** Removes the connection from its front and logs its end; returns false if that was done before. */
+    private boolean remove() {
+        boolean removed = front.remove(this);
+        if (removed) {
+            front.log().closed(closeReason == null ? CloseReason.CLIENT_DISCONNECTED : closeReason, channel.remoteAddress(),
+                current == null ? "" : current.id());
+        }
+        return removed;
+    }
+
     @Override public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (current != null && channel.isWritable()) {
             current.writable();
@@ -225,7 +252,7 @@
     @Override public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         inbound.release();
-        front.remove(this);
+        remove();
         next = null;
         if (current != null) {
             current.disconnected();
@@ -235,6 +262,7 @@
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        closesFor(CloseReason.IO_ERROR);
         context.close();
         Invariant.holds(cause instanceof IOException, "a client connection failed by an internal error: " + cause);
     }
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -14,6 +14,7 @@
 import kelphollow.routing.Request;
 import kelphollow.routing.ResponseCallback;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.CloseReason;
 
 /**
  * One request of a client, from its head to the last byte of its response. Chunks of the body are released here, by {@link
@@ -66,6 +67,11 @@
         return body == Body.UNREAD && !finished;
     }
 
+    /** Identifies the request in an error response and in the log. */
+    String id() {
+        return id;
+    }
+
     boolean isFinished() {
         return finished;
     }
@@ -216,7 +222,7 @@
     }
 
     @Override public void stalled() {
-        connection.channel().close();
+        connection.abort(CloseReason.CLIENT_STALLED);
     }
 
     void writable() {
@@ -288,7 +294,7 @@
     void respond(S3Error error) {
         if (transfer != null && transfer.download().isStarted()) {
             finished = true;
-            connection.channel().close();
+            connection.abort(CloseReason.VALUE_TRUNCATED);
         } else {
             write(HttpResponses.error(error, request, id));
         }
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -13,6 +13,8 @@
 import kelphollow.routing.Ticker;
 import kelphollow.store.StoreFault;
 import kelphollow.transport.ClientMemory;
+import kelphollow.transport.CloseReason;
+import kelphollow.transport.ConnectionLog;
 import kelphollow.transport.Front;
 import kelphollow.transport.LingeringClose;
 
@@ -33,6 +35,7 @@
     private final ObjectServices services;
     private final Set<ObjectConnection> connections = new LinkedHashSet<>();
     private final LingeringClose lingering;
+    private final ConnectionLog log;
     private Runnable whenShutDown;
     private long requests;
 
@@ -47,6 +50,8 @@
     public ObjectFront(RequestRouter router, Ticker ticker, ObjectOptions options, Ledger ledger, ClientMemory clientMemory)
         throws IOException, StoreFault {
         double startedAt = ticker.now();
+        this.log = new ConnectionLog(ticker, () -> "open=" + connections.size() + "; held: waiting requests="
+            + clientMemory);
         double settleTime = options.settleTime();
         this.lingering = new LingeringClose(ticker, options.stallTimeout(), LINGER_MS, MAX_LINGERING);
         UploadParts parts = new UploadParts(options.rememberedParts(), settleTime,
@@ -67,11 +72,25 @@
         return connections.size();
     }
 
+    /** Starts the periodic log line on client connections. */
+    public void startLog() {
+        log.start();
+    }
+
+    ConnectionLog log() {
+        return log;
+    }
+
+    @Override public void rejected(Channel channel) {
+        log.closed(CloseReason.NO_ROOM, channel.remoteAddress(), "");
+    }
+
     @Override public void accept(Channel channel) {
         channel.config().setAutoRead(false);
         HttpServerCodec codec = new HttpServerCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
         ObjectConnection connection = new ObjectConnection(this, services, channel);
         connections.add(connection);
+        log.accepted();
         connection.scheduleIdleCheck();
         channel.pipeline().addLast(codec, connection);
     }
@@ -84,12 +103,13 @@
         double now = services.now();
         connections.stream()
             .filter(connection -> connection.isIdle() && now - connection.idleSince() >= MIN_IDLE_TO_EVICT_MS)
-            .min(Comparator.comparingDouble(ObjectConnection::idleSince)).ifPresent(ObjectConnection::close);
+            .min(Comparator.comparingDouble(ObjectConnection::idleSince))
+            .ifPresent(connection -> connection.closeIfIdle(CloseReason.EVICTED));
     }
 
     @Override public void shutDown(Runnable whenClosed) {
         whenShutDown = whenClosed;
-        List.copyOf(connections).forEach(ObjectConnection::closeIfIdle);
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(CloseReason.SHUTDOWN));
         checkShutdown();
     }
 
--- a/src/main/java/kelphollow/protocol/resp/ReplySlot.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplySlot.java
@@ -6,6 +6,7 @@
 import kelphollow.routing.Request;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.ResponseCallback;
+import kelphollow.transport.CloseReason;
 
 /** One command's position in its connection's reply order. Confined to the event loop. */
 final class ReplySlot implements ResponseCallback, StreamedValue.Receiver {
@@ -70,6 +71,11 @@
         return value;
     }
 
+    /** The client's id of the request, or null before it was reserved. */
+    String id() {
+        return id;
+    }
+
     boolean isOpen() {
         return request != null;
     }
@@ -99,6 +105,10 @@
         }
     }
 
+    @Override public void aborted(CloseReason reason) {
+        connection.abort(reason);
+    }
+
     @Override public void served(Object response) {
         if (value != null) {
             finish();
@@ -119,7 +129,7 @@
     private void error(String error) {
         if (value != null && value.isStreaming()) {
             request = null;
-            value.abort();
+            aborted(CloseReason.VALUE_TRUNCATED);
             return;
         }
         if (value != null) {
--- a/src/main/java/kelphollow/protocol/resp/RespBackend.java
+++ b/src/main/java/kelphollow/protocol/resp/RespBackend.java
@@ -1,8 +1,10 @@
 package kelphollow.protocol.resp;
 
 import io.netty.channel.ChannelHandler;
+import java.util.logging.Logger;
 import kelphollow.routing.Attempt;
 import kelphollow.routing.Backend;
+import kelphollow.routing.RateLimitedLog;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.ConnectionPools;
 
@@ -10,6 +12,7 @@
 public final class RespBackend implements Backend {
     private final ConnectionPools pools;
     private final Ticker ticker;
+    private final RateLimitedLog givenUp = new RateLimitedLog(Logger.getLogger(RespBackend.class.getName()));
 
     /** Creates a backend on connection pools whose codec is {@link #codec}. */
     public RespBackend(ConnectionPools pools, Ticker ticker) {
@@ -23,14 +26,14 @@
     }
 
     @Override public void start(Attempt attempt) {
-        RespExchange exchange = new RespExchange(attempt, ticker);
+        RespExchange exchange = new RespExchange(attempt, ticker, givenUp);
         attempt.attach(exchange);
         exchange.connection(pools.acquire(attempt.target().endpoint().node(), attempt.target().address(), exchange));
     }
 
     @Override public void cancel(Attempt attempt) {
         if (attempt.transportHandle() instanceof RespExchange exchange) {
-            exchange.close();
+            exchange.cancel();
         }
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespCommand.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCommand.java
@@ -77,7 +77,8 @@
 
     /** Returns the request for the decision module, with {@code now} as its arrival time. */
     RequestArrived arrival(double now) throws MalformedCommandException {
-        return new RequestArrived("", required(RespWireNames.REQUEST_CLASS), required(RespWireNames.PLAN), ascii(objectKey),
+        return new RequestArrived(idText(), required(RespWireNames.REQUEST_CLASS), required(RespWireNames.PLAN), ascii(
+            objectKey),
             now + number(RespWireNames.TIME_LEFT, Double.NaN, 0, MAX_TIME_LEFT_MS), required(RespWireNames.VOLUME),
             number(RespWireNames.UNITS, 1, 0, MAX_UNITS),
             (int) number(RespWireNames.CELL, NEW_OBJECT, NEW_OBJECT, Integer.MAX_VALUE),
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -14,9 +14,11 @@
 import java.util.Locale;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.CloseReason;
 
 /**
  * One client's connection. Sends replies in the order of the commands. Releases each decoded message once its command has
@@ -68,6 +70,8 @@
     private boolean unflushed;
     private ChannelFuture lastWrite;
     private int openRequests;
+    /** Why the connection is closed; null while it serves, or if the client closes it. */
+    private CloseReason closeReason;
 
     RespConnection(RespFront front, RequestRouter router, RequestIntake intake, Ticker ticker, Channel channel) {
         this.front = front;
@@ -159,7 +163,7 @@
         ReplySlot slot = addSlot();
         RedisMessage message = command.message();
         if (slots.size() > MAX_PENDING_REPLIES) {
-            failConnection(slot, "ERR too many commands at once");
+            failConnection(slot, "ERR too many commands at once", CloseReason.TOO_MANY_COMMANDS);
             return;
         }
         if (command.isRejected()) {
@@ -169,7 +173,7 @@
         String name = message instanceof ArrayRedisMessage array && !array.isNull() && !array.children().isEmpty()
             ? RespCodec.text(array.children().get(0)) : null;
         if (name == null) {
-            failConnection(slot, "ERR Protocol error: expected a command");
+            failConnection(slot, "ERR Protocol error: expected a command", CloseReason.MALFORMED_INPUT);
             return;
         }
         activity.requested();
@@ -215,8 +219,9 @@
     }
 
     /** Replies with an error after which no input can be parsed. Earlier commands still get their replies, in order. */
-    private void failConnection(ReplySlot slot, String error) {
+    private void failConnection(ReplySlot slot, String error, CloseReason reason) {
         state = State.CLOSING;
+        closesFor(reason);
         discardInput();
         slot.reply(new ErrorRedisMessage(error));
     }
@@ -232,26 +237,45 @@
     /** Discards the incomplete command, to make room for those of others; earlier commands still get their replies. */
     void evictIncomplete() {
         discardInput();
-        channel.eventLoop().execute(() -> failInput("ERR too many incomplete commands"));
+        channel.eventLoop().execute(() -> failInput("ERR too many incomplete commands",
+            CloseReason.INCOMPLETE_COMMAND_EVICTED));
     }
 
-    private void failInput(String error) {
+    private void failInput(String error, CloseReason reason) {
         if (state == State.SERVING && channel.isActive()) {
             handleDecoded();               // commands received before the input that failed
-            failConnection(addSlot(), error);
+            failConnection(addSlot(), error, reason);
         }
     }
 
     /** Closes the connection once the written replies are sent; commands that arrive meanwhile are not forwarded. */
-    void close() {
+    void close(CloseReason reason) {
         if (state != State.CLOSED) {
+            closesFor(reason);
             markClosed();
             discardInput();
             front.lingeringClose(channel);
         }
     }
 
+    /** Closes the connection at once, which shows the client that the value on it is truncated. */
+    void abort(CloseReason reason) {
+        closesFor(reason);
+        channel.close();
+    }
+
+    /** Records why the connection closes, unless a reason is known already. */
+    private void closesFor(CloseReason reason) {
+        if (closeReason == null) {
+            closeReason = reason;
+        }
+    }
+
     private void markClosed() {
+        if (state != State.CLOSED) {
+            front.log().closed(closeReason == null ? CloseReason.CLIENT_DISCONNECTED : closeReason, channel.remoteAddress(),
+                slots.stream().filter(ReplySlot::isOpen).map(ReplySlot::id).collect(Collectors.joining(" ")));
+        }
         state = State.CLOSED;
         throttle.stop();
         front.remove(this);
@@ -269,7 +293,7 @@
             front.markActive(this);
         }
         if (slots.isEmpty() && decoded.isEmpty() && (state == State.CLOSING || front.isShuttingDown())) {
-            close();
+            close(CloseReason.SHUTDOWN);
         }
         throttle.update();
     }
@@ -310,10 +334,11 @@
 
     @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof IOException) {
+            closesFor(CloseReason.IO_ERROR);
             context.close();
         } else if (state == State.SERVING) {
             LOG.log(Level.FINE, "malformed RESP input from client", cause);
-            failInput("ERR Protocol error");
+            failInput("ERR Protocol error", CloseReason.MALFORMED_INPUT);
         }
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -5,10 +5,10 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
-import java.util.logging.Logger;
 import kelphollow.decision.ControlEvent.AttemptOutcome;
 import kelphollow.routing.Attempt;
 import kelphollow.routing.AttemptResult;
+import kelphollow.routing.RateLimitedLog;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.PooledConnection;
 
@@ -17,7 +17,6 @@
  * streamed value, whose ownership passes to {@link StreamedValue#append}. Confined to the event loop.
  */
 final class RespExchange implements PooledConnection.ExchangeHandler {
-    private static final Logger LOG = Logger.getLogger(RespExchange.class.getName());
     // For a reply of which nothing has been forwarded.
     private static final double REPLY_STALL_TIMEOUT_MS = 200;
     // For a node whose value is being forwarded. Longer, because the value cannot be requested again, and peers may take
@@ -28,15 +27,18 @@
 
     private final Attempt attempt;
     private final Ticker ticker;
+    private final RateLimitedLog log;
     private PooledConnection connection;
     private ChannelFuture commandWritten;
     private Ticker.Timeout stallTimer;
     private double incompleteSince;
     private StreamedValue value;
 
-    RespExchange(Attempt attempt, Ticker ticker) {
+    /** {@code log}: for replies that were given up after they had begun. */
+    RespExchange(Attempt attempt, Ticker ticker, RateLimitedLog log) {
         this.attempt = attempt;
         this.ticker = ticker;
+        this.log = log;
     }
 
     /** Sets the connection acquired for this exchange, which may still be connecting. */
@@ -95,8 +97,7 @@
 
     /** Ends the attempt after a malformed or stalled reply: the request was executed, and the connection is not reusable. */
     private void failReply() {
-        LOG.fine(() -> "node " + attempt.target().endpoint().node()
-            + ": malformed or stalled reply, closing the connection");
+        logGivenUp("malformed or stalled reply");
         close();
         attempt.ended(failure(AttemptOutcome.ERROR));
     }
@@ -127,7 +128,7 @@
             double left = timeout - stalled;
             stallTimer = ticker.after(streaming ? Math.min(left, STREAM_STALL_TIMEOUT_MS) : left, this::checkStall);
         } else if (streaming && value.waitsForClient()) {
-            value.abort();             // no effect if an earlier reply on the client connection is what is stalled
+            value.clientStalled();     // no effect if an earlier reply on the client connection is what is stalled
             stallTimer = ticker.after(STREAM_STALL_TIMEOUT_MS, this::checkStall);
         } else {
             failReply();
@@ -149,6 +150,7 @@
         cancelTimer();
         boolean notExecuted = commandWritten == null || !commandWritten.isSuccess();
         discardUnannounced();
+        logGivenUp("the connection ended" + (cause == null ? "" : ": " + cause));
         if (cause instanceof CodecException) {
             attempt.ended(failure(AttemptOutcome.ERROR));
         } else {
@@ -162,8 +164,24 @@
         }
     }
 
+    /** Logs a reply that had begun and is not awaited any more. */
+    private void logGivenUp(String why) {
+        if (value != null) {
+            log.info(ticker.now(), () -> attempt + ": " + value + ": " + why);
+        } else if (stallTimer != null) {
+            log.info(ticker.now(), () -> attempt + ": reply incomplete for " + (long) (ticker.now() - incompleteSince)
+                + " ms: " + why);
+        }
+    }
+
+    /** Cancels the attempt: its time is over, or its client has left. */
+    void cancel() {
+        logGivenUp("cancelled");
+        close();
+    }
+
     /** Closes the connection, which tells the node that its reply is no longer awaited. */
-    void close() {
+    private void close() {
         cancelTimer();
         discardUnannounced();
         if (connection != null) {
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -9,6 +9,8 @@
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
 import kelphollow.transport.ClientMemory;
+import kelphollow.transport.CloseReason;
+import kelphollow.transport.ConnectionLog;
 import kelphollow.transport.Front;
 import kelphollow.transport.LingeringClose;
 
@@ -34,6 +36,7 @@
     /** Connections with an incomplete command, the one whose command has been incomplete longest first. */
     private final Set<RespConnection> incomplete = new LinkedHashSet<>();
     private final LingeringClose lingering;
+    private final ConnectionLog log;
     private Runnable whenShutDown;
 
     /**
@@ -51,9 +54,24 @@
             maxConnections / CONNECTIONS_PER_LINGERING);
         this.memory = CommandMemory.Bounds.of(memory);
         this.intake = new RequestIntake(settings);
+        this.log = new ConnectionLog(ticker, this::gauges);
         scheduleSweep();
     }
 
+    /** Starts the periodic log line on client connections. */
+    public void startLog() {
+        log.start();
+    }
+
+    private String gauges() {
+        return "open=" + connections.size() + " incomplete=" + incomplete.size() + "; held: incomplete commands="
+            + memory.incomplete() + " accepted commands=" + memory.accepted();
+    }
+
+    ConnectionLog log() {
+        return log;
+    }
+
     /** Accepts the classes of new settings from now on; earlier ones stay valid for clients that still use them. */
     public void addClasses(List<RequestClass> classes) {
         intake.addClasses(classes);
@@ -63,10 +81,15 @@
         return connections.size();
     }
 
+    @Override public void rejected(Channel channel) {
+        log.closed(CloseReason.NO_ROOM, channel.remoteAddress(), "");
+    }
+
     @Override public void accept(Channel channel) {
         RespConnection connection = new RespConnection(this, router, intake, ticker, channel);
         channel.pipeline().addLast(RespCodec.forClient(connection.memory()));
         connections.add(connection);
+        log.accepted();
         channel.pipeline().addLast(connection);
     }
 
@@ -77,7 +100,7 @@
             boolean crowded = withRequests > maxConnections / 2;
             List.copyOf(connections).stream()
                 .filter(connection -> connection.isIdle() && connection.activity().hasExpired(crowded))
-                .forEach(RespConnection::close);
+                .forEach(connection -> connection.close(CloseReason.IDLE));
             scheduleSweep();
         });
     }
@@ -96,7 +119,7 @@
             }
         }
         if (evicted != null) {
-            evicted.close();
+            evicted.close(CloseReason.EVICTED);
         }
     }
 
--- a/src/main/java/kelphollow/protocol/resp/StreamedValue.java
+++ b/src/main/java/kelphollow/protocol/resp/StreamedValue.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import kelphollow.routing.Ticker;
+import kelphollow.transport.CloseReason;
 
 /**
  * Streams a value from a node's connection to a client's connection without buffering it as a whole. Reading from the node
@@ -20,6 +21,9 @@
     interface Receiver {
         /** A value has started; the receiver calls {@link #streamTo} once the reply is next in order, or discards it. */
         void valueStarted(StreamedValue value);
+
+        /** Part of the value was forwarded, and the rest will not be: closes the client's connection. */
+        void aborted(CloseReason reason);
     }
 
     /** Stages of the value, in the order in which it passes them. */
@@ -38,7 +42,9 @@
     private final ArrayDeque<ByteBuf> buffered = new ArrayDeque<>();
     private Stage stage = Stage.BUFFERING;
     private boolean discarded;
+    private Receiver receiver;
     private Channel client;
+    private long receivedBytes;
     private long bufferedBytes;
     private double lastProgressAt;
 
@@ -53,6 +59,7 @@
     /** Appends bytes and takes ownership of them. Returns true if enough is buffered to notify the receiver. */
     boolean append(ByteBuf bytes) {
         lastProgressAt = ticker.now();
+        receivedBytes += bytes.readableBytes();
         if (discarded) {
             bytes.release();
         } else if (stage == Stage.STREAMING) {
@@ -66,9 +73,10 @@
     }
 
     /** Notifies the receiver; no effect after the first call. */
-    void announce(Receiver receiver) {
+    void announce(Receiver announcedTo) {
         if (stage == Stage.BUFFERING) {
             stage = Stage.ANNOUNCED;
+            receiver = announcedTo;
             receiver.valueStarted(this);
         }
     }
@@ -126,6 +134,12 @@
         return ticker.now() - lastProgressAt;
     }
 
+    /** Names the value in the log: how much of it has arrived, and how long ago either side made progress. */
+    @Override public String toString() {
+        return "value of " + length + " bytes, " + receivedBytes + " received, " + stage + ", no progress for "
+            + (long) stalledMs() + " ms" + (waitsForClient() ? ", waits for the client" : "");
+    }
+
     /** Resumes reading the node's connection after the last byte of the value. */
     void complete() {
         node.config().setAutoRead(true);
@@ -140,10 +154,10 @@
         applyBackpressure();
     }
 
-    /** Closes the client connection if the value is streaming: the client has stalled, or the rest of the value is lost. */
-    void abort() {
+    /** Closes the client connection if the value is streaming, because the client has stalled. */
+    void clientStalled() {
         if (stage == Stage.STREAMING) {
-            client.close();
+            receiver.aborted(CloseReason.CLIENT_STALLED);
         }
     }
 }
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -187,9 +187,9 @@
         return true;
     }
 
-    /** Names the attempt in the log: request and attempt by the router's numbers, and the node. */
+    /** Names the attempt in the log: request and attempt by the router's numbers, the client's id, and the node. */
     @Override public String toString() {
         String suffix = isInFlight() ? " (in flight)" : "";
-        return "request " + request.arrival().id() + " attempt " + number + " at " + target.endpoint().node() + suffix;
+        return request + " attempt " + number + " at " + target.endpoint().node() + suffix;
     }
 }
--- a/src/main/java/kelphollow/routing/RateLimitedLog.java
+++ b/src/main/java/kelphollow/routing/RateLimitedLog.java
@@ -8,7 +8,7 @@
  * and the first line of the next period tells how many were suppressed. Prevents log lines from costing more than the
  * fault that they report. Confined to one thread.
  */
-final class RateLimitedLog {
+public final class RateLimitedLog {
     /** Length of a period. */
     static final double PERIOD_MS = 10_000;
     /** Lines that are logged in a period at most. */
@@ -19,12 +19,13 @@
     private int logged;
     private long suppressed;
 
-    RateLimitedLog(Logger logger) {
+    /** Creates a log that writes to {@code logger}. */
+    public RateLimitedLog(Logger logger) {
         this.logger = logger;
     }
 
     /** Logs the line, or counts it as suppressed if the period has had its lines; {@code now} in milliseconds. */
-    void info(double now, Supplier<String> line) {
+    public void info(double now, Supplier<String> line) {
         if (now >= periodEndsAt) {
             periodEndsAt = now + PERIOD_MS;
             logged = 0;
--- a/src/main/java/kelphollow/routing/Request.java
+++ b/src/main/java/kelphollow/routing/Request.java
@@ -21,14 +21,17 @@
     }
 
     private final RequestArrived arrival;
+    private final String clientId;
     private final Object message;
     private final ResponseCallback callback;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private State state = State.OPEN;
     private AttemptOutcome lastOutcome;
 
-    Request(RequestArrived arrival, Object message, ResponseCallback callback) {
+    /** {@code clientId}: the id by which the client knows the request, for the log; may be empty. */
+    Request(RequestArrived arrival, String clientId, Object message, ResponseCallback callback) {
         this.arrival = arrival;
+        this.clientId = clientId;
         this.message = message;
         this.callback = callback;
     }
@@ -38,6 +41,11 @@
         return arrival;
     }
 
+    /** Names the request in the log: by the router's number and the client's id. */
+    @Override public String toString() {
+        return "request " + arrival.id() + (clientId.isEmpty() ? "" : " (" + clientId + ")");
+    }
+
     /** What the front submitted, in the form that the backend of the same protocol sends. */
     public Object message() {
         return message;
--- a/src/main/java/kelphollow/routing/RequestLifecycle.java
+++ b/src/main/java/kelphollow/routing/RequestLifecycle.java
@@ -35,7 +35,7 @@
     /** Accepts a request under an id that the router assigns; see {@link RequestRouter#submit}. */
     Request submit(RequestArrived arrival, Object message, ResponseCallback callback) {
         RequestArrived numbered = numbered(arrival);
-        Request request = new Request(numbered, message, callback);
+        Request request = new Request(numbered, arrival.id(), message, callback);
         log.submitted();
         OptionalDouble retryAfter = admission.retryAfter(numbered);
         if (retryAfter.isPresent()) {
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -1,6 +1,7 @@
 package kelphollow.routing;
 
 import java.util.Collection;
+import java.util.function.IntSupplier;
 import java.util.logging.Logger;
 import kelphollow.decision.ControlAction.Reason;
 import kelphollow.decision.ControlEvent.AttemptOutcome;
@@ -20,6 +21,8 @@
     private final Ticker ticker;
     private final Collection<Request> open;
     private final EndpointListLease lease;
+    private final StallDetector stalls;
+    private final IntSupplier volumes;
     private boolean disabled;
     /** Whether the limits were handed over to the next process. */
     private boolean handedOver;
@@ -29,11 +32,19 @@
     private final RateLimitedLog overdue = new RateLimitedLog(LOG);
     private final RateLimitedLog afterHandover = new RateLimitedLog(LOG);
 
-    /** {@code open}: a view of the requests that have no final response yet. */
-    RequestLog(Ticker ticker, Collection<Request> open, EndpointListLease lease) {
+    /**
+     * Creates a log.
+     *
+     * @param open a view of the requests that have no final response yet
+     * @param volumes how many volumes the decision module has in memory
+     */
+    RequestLog(Ticker ticker, Collection<Request> open, EndpointListLease lease, StallDetector stalls,
+        IntSupplier volumes) {
         this.ticker = ticker;
         this.open = open;
         this.lease = lease;
+        this.stalls = stalls;
+        this.volumes = volumes;
     }
 
     /** Turns logging off, as for a warm-up. */
@@ -54,7 +65,7 @@
         ticker.after(COUNTERS_INTERVAL_MS, () -> {
             String summary = counters.summary();
             if (!summary.equals(logged)) {
-                LOG.info(summary);
+                LOG.info(() -> summary + "; " + load());
             }
             scheduleCounters(summary);
         });
@@ -66,7 +77,7 @@
             double deadline = request.arrival().deadline();
             if (now > deadline + OVERDUE_AFTER_MS && request.becomesOverdue()) {
                 counters.overdue();
-                overdue.info(now, () -> "request " + request.arrival().id() + " has no final response "
+                overdue.info(now, () -> request + " has no final response "
                     + (long) (now - deadline) + " ms after its deadline: " + request.attempts());
             }
         }
@@ -75,7 +86,14 @@
 
     /** All counters as one log line. */
     String summary() {
-        return counters.summary();
+        return counters.summary() + "; " + load();
+    }
+
+    /** What the event loop is loaded with; stalls since this was logged last. */
+    private String load() {
+        return String.format("loop: longest stall=%.0f ms open requests=%d volumes=%d", stalls.takeLongestStall(), open
+            .size(),
+            volumes.getAsInt());
     }
 
     void submitted() {
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -46,7 +46,7 @@
         this.control = control;
         this.decisions = new DecisionLoop(control, ticker);
         this.stalls = new StallDetector(ticker);
-        this.log = new RequestLog(ticker, open.values(), lease);
+        this.log = new RequestLog(ticker, open.values(), lease, stalls, control::volumeCount);
         this.table = new EndpointTable();
         this.endpoints = new EndpointList(ticker, decisions, table, lease, backend::closeIdleConnections);
         this.overrides = new EndpointOverrides(ticker, decisions, table, backend::closeIdleConnections);
@@ -130,7 +130,7 @@
      * Submits a request. The router replaces the id in {@code arrival} by one of its own, since two clients may send the
      * same id.
      *
-     * @param arrival what the decision module is notified of
+     * @param arrival what the decision module is notified of, with the client's own id for the log, or an empty one
      * @param message what is to be sent, in the form that the backend of the same protocol expects
      * @param callback gets the final response, possibly before this call returns
      */
--- a/src/main/java/kelphollow/routing/StallDetector.java
+++ b/src/main/java/kelphollow/routing/StallDetector.java
@@ -13,6 +13,7 @@
     private final Ticker ticker;
     private double nextHeartbeatAt;
     private double stalledBefore;
+    private double longestStall;
 
     StallDetector(Ticker ticker) {
         this.ticker = ticker;
@@ -25,11 +26,20 @@
     }
 
     private void heartbeat() {
-        stalledBefore = stalledFor();
+        double stalled = stalledFor();
+        longestStall = Math.max(longestStall, stalled - stalledBefore);
+        stalledBefore = stalled;
         nextHeartbeatAt = ticker.now() + HEARTBEAT_INTERVAL_MS;
         ticker.after(HEARTBEAT_INTERVAL_MS, this::heartbeat);
     }
 
+    /** Returns the longest stall since the last call, in milliseconds. */
+    double takeLongestStall() {
+        double longest = longestStall;
+        longestStall = 0;
+        return longest;
+    }
+
     /** Total milliseconds for which the event loop got no CPU time or had no time for new input. */
     double stalledFor() {
         return stalledBefore + Math.max(0, ticker.now() - nextHeartbeatAt - TOLERANCE_MS);
--- a/src/main/java/kelphollow/transport/ClientMemory.java
+++ b/src/main/java/kelphollow/transport/ClientMemory.java
@@ -12,6 +12,8 @@
     /** One client may occupy one in this many bytes of the capacity ahead of demand. */
     private static final long CAPACITY_PER_CLIENT = 16;
 
+    private static final int BYTES_PER_KIB = 1024;
+
     private final long capacity;
     private long occupied;
 
@@ -54,6 +56,11 @@
         return occupied > capacity;
     }
 
+    /** What the clients occupy and may occupy, for the log. */
+    @Override public String toString() {
+        return occupied / BYTES_PER_KIB + " of " + capacity / BYTES_PER_KIB + " KiB";
+    }
+
     /** Whether a client that occupies {@code queuedBytes} bytes ahead of demand may be read further. */
     public boolean mayReadAhead(long queuedBytes) {
         return occupied < capacity && queuedBytes < capacity / CAPACITY_PER_CLIENT;
--- a/src/main/java/kelphollow/transport/Front.java
+++ b/src/main/java/kelphollow/transport/Front.java
@@ -7,6 +7,9 @@
     /** Gives a new connection its handlers; the front owns the connection from now on. */
     void accept(Channel channel);
 
+    /** A new connection is closed, because there is no room for it. */
+    void rejected(Channel channel);
+
     /** How many connections it serves, not counting those that are closing. */
     int connections();
 
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -74,6 +74,7 @@
             front.evictIdle();
         }
         if (front.connections() >= maxConnections) {
+            front.rejected(channel);
             channel.close();
             return;
         }
--- a/src/test/java/kelphollow/program/LingeringCloseTest.java
+++ b/src/test/java/kelphollow/program/LingeringCloseTest.java
@@ -37,6 +37,8 @@
             accepted.add(channel);
         }
 
+        @Override public void rejected(Channel channel) {}
+
         @Override public int connections() {
             return 0;
         }
