Log the reason of rejected and failed requests, each reason at a rate of its own

Cause: the counters say how often requests were rejected for a reason, not which and how long before their deadline, so that a rejection a few milliseconds after its arrival looked like one at its deadline. Change: RequestLog names the request, the reason, the time left and its attempts; a reason that floods cannot hide the others.

--- a/src/main/java/kelphollow/lab/soak/RespClient.java
+++ b/src/main/java/kelphollow/lab/soak/RespClient.java
@@ -32,6 +32,13 @@
         return get(id, requestClass, wait, cell, new VolumeUse("padrao", "v" + cell, 1, 1));
     }
 
+    /** Encodes a request for the object that has a long value; {@code wait} is its deadline in milliseconds. */
+    static String getValue(String id, String requestClass, int wait, int cell, LongValue value) {
+        String object = value.object();
+        return get(id, requestClass, wait, cell).replaceFirst("\\$1\r\np\r\n", "\\$" + object.length() + "\r\n" + object
+            + "\r\n");
+    }
+
     /** Encodes a request of a volume for one object; {@code wait} is its deadline in milliseconds. */
     static String get(String id, String requestClass, int wait, int cell, VolumeUse use) {
         String fields = "c=" + requestClass + ",t=" + use.plan() + ",d=" + wait + ",volume=" + use.volume() + ",units="
@@ -73,6 +80,15 @@
         return head.startsWith("$") && !head.equals("$-1") ? line() : head;
     }
 
+    /** Reads the bytes of a bulk string whose header was read, and its line ending. */
+    byte[] value(int length) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        if (bytes.length < length || !line().isEmpty()) {
+            throw new EOFException("connection ended after " + bytes.length + " of " + length + " bytes");
+        }
+        return bytes;
+    }
+
     @Override public void close() throws IOException {
         socket.close();
     }
--- a/src/main/java/kelphollow/lab/soak/SoakHistory.java
+++ b/src/main/java/kelphollow/lab/soak/SoakHistory.java
@@ -30,6 +30,9 @@
     /** The first byte of a command reached a node; {@code timeLeft} is the deadline sent, {@code mayRun} if not rejected. */
     record AttemptArrived(double at, String node, String id, double timeLeft, boolean mayRun) implements Event {}
 
+    /** A node wrote a long value from {@code from} on, and saw its connection end before it was complete. */
+    record ValueCut(double from, double at, String node, String id) implements Event {}
+
     /**
      * A client has written a complete request; {@code patience} is its timeout in milliseconds, {@code limitedVolume} its
      * volume if that has a limit, else null.
--- a/src/main/java/kelphollow/lab/soak/SoakNode.java
+++ b/src/main/java/kelphollow/lab/soak/SoakNode.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -38,7 +39,8 @@
     }
 
     private static final Pattern TIME_LEFT = Pattern.compile("(?:^|,)d=([0-9.]+)");
-    /** Positions of the id and the fields among a command's words. */
+    /** Positions of the object, the id and the fields among a command's words. */
+    private static final int OBJECT = 1;
     private static final int ID = 2;
     private static final int FIELDS = 3;
     private static final int BACKLOG = 200;
@@ -102,7 +104,7 @@
                 Matcher timeLeft = TIME_LEFT.matcher(words.length > FIELDS ? words[FIELDS] : "");
                 history.add(new SoakHistory.AttemptArrived(at, name, words[ID],
                     timeLeft.find() ? Double.parseDouble(timeLeft.group(1)) : 0, now != Mode.REJECTS));
-                if (!answer(socket, in, now)) {
+                if (!answer(socket, in, now, words)) {
                     return;
                 }
             }
@@ -112,7 +114,8 @@
     }
 
     /** Answers a command and returns whether the connection stays open. */
-    private boolean answer(Socket socket, InputStream in, Mode now) throws IOException, InterruptedException {
+    private boolean answer(Socket socket, InputStream in, Mode now, String[] words)
+        throws IOException, InterruptedException {
         Thread.sleep(MIN_SERVICE_MS + random.nextInt(SERVICE_SPREAD_MS));
         switch (now) {
             case HANGS -> {
@@ -130,11 +133,26 @@
                 Thread.sleep(SERVICE_SPREAD_MS);
                 write(socket, "k\r\n$-1\r\n$-1\r\n");
             }
-            case SERVES -> write(socket, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+            case SERVES -> serveValue(socket, words);
         }
         return true;
     }
 
+    private void serveValue(Socket socket, String[] words) throws IOException, InterruptedException {
+        Optional<LongValue> value = LongValue.parse(words[OBJECT]);
+        if (value.isEmpty()) {
+            write(socket, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+            return;
+        }
+        double at = history.now();
+        try {
+            value.get().write(socket.getOutputStream());
+        } catch (IOException e) {
+            history.add(new SoakHistory.ValueCut(at, history.now(), name, words[ID]));
+            throw e;
+        }
+    }
+
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
--- a/src/main/java/kelphollow/routing/RequestLifecycle.java
+++ b/src/main/java/kelphollow/routing/RequestLifecycle.java
@@ -89,7 +89,7 @@
         if (request == null) {
             return;
         }
-        log.rejected(action.reason());
+        log.rejected(request, action.reason());
         if (request.attemptCount() == 0) {
             admission.rejected(request.arrival());
         }
@@ -102,7 +102,7 @@
         if (request == null) {
             return;
         }
-        log.failed(action.reason());
+        log.failed(request, action.reason());
         request.callback().failed(request.timedOut());
     }
 
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -1,6 +1,8 @@
 package kelphollow.routing;
 
 import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.logging.Logger;
 import kelphollow.decision.ControlAction.Reason;
@@ -27,6 +29,8 @@
     /** Whether the limits were handed over to the next process. */
     private boolean handedOver;
     private final RequestCounters counters = new RequestCounters();
+    private final Map<Reason, RateLimitedLog> rejected = new EnumMap<>(Reason.class);
+    private final Map<Reason, RateLimitedLog> failed = new EnumMap<>(Reason.class);
     private final RateLimitedLog notSent = new RateLimitedLog(LOG);
     private final RateLimitedLog unconfirmed = new RateLimitedLog(LOG);
     private final RateLimitedLog overdue = new RateLimitedLog(LOG);
@@ -108,12 +112,25 @@
         counters.clientDisconnected();
     }
 
-    void rejected(Reason reason) {
+    void rejected(Request request, Reason reason) {
         counters.rejected(reason);
+        logUnserved(rejected, request, "is rejected", reason);
     }
 
-    void failed(Reason reason) {
+    void failed(Request request, Reason reason) {
         counters.failed(reason);
+        logUnserved(failed, request, "has failed", reason);
+    }
+
+    /** Logs each reason at a rate of its own, so that the one that floods does not hide the others. */
+    private void logUnserved(Map<Reason, RateLimitedLog> logs, Request request, String verdict, Reason reason) {
+        if (!disabled) {
+            double now = ticker.now();
+            logs.computeIfAbsent(reason, r -> new RateLimitedLog(LOG)).info(now, () -> request + " " + verdict + ": "
+                + reason
+                + ", " + (long) (request.arrival().deadline() - now) + " ms before its deadline, attempts "
+                + request.attempts());
+        }
     }
 
     void attemptStarted(Attempt attempt) {
