Give the soak's processes the deploy file's memory; keep Java's exception names out of a log line

Cause: the soak ran with the JVM's default direct memory (64 MB), where the deploy file allows 20 MB. Change: JVM_OPTIONS as in the deploy file; the line has the cause's message only.

--- a/src/main/java/kelphollow/lab/soak/ServeProcess.java
+++ b/src/main/java/kelphollow/lab/soak/ServeProcess.java
@@ -30,6 +30,10 @@
     /** The plan with a limit. */
     static final String LIMITED_PLAN = "basico";
 
+    /** The memory that the deploy file gives a process. */
+    private static final List<String> JVM_OPTIONS = List.of("-XX:+UseSerialGC", "-Xms64m", "-Xmx64m", "-Xmn24m",
+        "-XX:MaxDirectMemorySize=20m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=20m",
+        "-XX:TieredStopAtLevel=1", "-Xss512k", "-XX:-UsePerfData");
     private static final String MAIN = "kelphollow.program.Main";
     /** A process that is not ready after this time, in seconds, has failed to start. */
     private static final int READY_TIMEOUT_SECONDS = 60;
@@ -133,9 +137,9 @@
 
     private InstanceRun launch() throws IOException, InterruptedException {
         starts++;
-        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
-            "-Xmx64m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-ea", "-cp", System.getProperty("java.class.path"),
-            MAIN, "serve"));
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+        command.addAll(JVM_OPTIONS);
+        command.addAll(List.of("-ea", "-cp", System.getProperty("java.class.path"), MAIN, "serve"));
         Map<String, String> environment = new HashMap<>();
         environment.put("GW_CONFIG", folder.resolve(name + ".json").toString());
         // The processes of an upgrade share the folder; any other restart begins with an empty one.
@@ -182,6 +186,11 @@
 
     // ---------------------------------------------------------------- upgrade
 
+    /** The id of the newest process. */
+    long pid() {
+        return run.pid();
+    }
+
     /** Starts a second process beside the serving one, by the file last written. */
     public void startSuccessor() throws IOException, InterruptedException {
         InstanceRun next = launch();
--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -150,7 +150,7 @@
         cancelTimer();
         boolean notExecuted = commandWritten == null || !commandWritten.isSuccess();
         discardUnannounced();
-        logGivenUp("the connection ended" + (cause == null ? "" : ": " + cause));
+        logGivenUp("the connection ended" + (cause == null ? "" : ": " + cause.getMessage()));
         if (cause instanceof CodecException) {
             attempt.ended(failure(AttemptOutcome.ERROR));
         } else {
