--- a/src/test/java/kelphollow/program/ClientMemoryTest.java
+++ b/src/test/java/kelphollow/program/ClientMemoryTest.java
@@ -33,6 +33,8 @@
     private static final int UPLOAD_BYTES = 400_000;
     private static final int COMMANDS_AT_ONCE = 40;
     private static final int FLOODING_CLIENTS = 60;
+    private static final int CROWD = 450;
+    private static final int SHORT_FIELDS = 4_000;
     private static final int WATCHED_MS = 4_000;
     /** Half a second after its time a request without an answer is lost. */
     private static final double LOST_AFTER_MS = 500;
@@ -154,6 +156,14 @@
         assertTrue(longest < LOST_AFTER_MS, "longest request " + longest + " ms");
     }
 
+    /** Each short field of a head occupies many times its length: before the fix the heap was used up. */
+    @Test void clientsThatSendHeadsOfVeryManyShortFieldsDoNotHoldUpOthers() throws Exception {
+        String fields = "a:\r\n".repeat(SHORT_FIELDS);
+        double longest = longestPing(startGateway(), Ping.OBJECTS, CROWD, i -> "GET /crash-dumps/" + i
+            + " HTTP/1.1\r\nHost: h\r\n" + fields);
+        assertTrue(longest < LOST_AFTER_MS, "longest request " + longest + " ms");
+    }
+
     /** Complete commands hold memory until their reply: those that do not fit are rejected. */
     @Test void clientsThatSendManyLongCommandsAtOnceDoNotHoldUpOthers() throws Exception {
         double longest = longestPing(startPlatform(), Ping.PLATFORM, FLOODING_CLIENTS, i -> {
