Forward a long value 100 ms after its length, and wait 10 s for the rest of it

Cause: RespExchange ended an attempt 200 ms after the last byte of a reply of which nothing was forwarded, and forwarded a value only once 64 KiB of it had come, so that the deadline ran meanwhile. Change: a long value is announced to the client 100 ms after its length, 20 ms before the attempt's time is over, or with 64 KiB; then node and client may each stand still for 10 s (the node 2 s before). Values of up to 64 KiB keep their 200 ms.

--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -17,13 +17,17 @@
  * streamed value, whose ownership passes to {@link StreamedValue#append}. Confined to the event loop.
  */
 final class RespExchange implements PooledConnection.ExchangeHandler {
-    // For a reply of which nothing has been forwarded.
-    private static final double REPLY_STALL_TIMEOUT_MS = 200;
-    // For a node whose value is being forwarded. Longer, because the value cannot be requested again, and peers may take
-    // seconds to deliver it.
-    private static final double STREAM_STALL_TIMEOUT_MS = 2_000;
-    // A client that reads nothing of its value for this long counts as disconnected.
-    private static final double CLIENT_STALL_TIMEOUT_MS = 10_000;
+    // For a short value. It can still be requested again.
+    private static final double SHORT_VALUE_STALL_TIMEOUT_MS = 200;
+    // For a reply whose length is not known yet: nodes write in pieces of any size, with pauses, and it may be a long value.
+    private static final double HEAD_STALL_TIMEOUT_MS = 2_000;
+    // For a value that is being forwarded, which cannot be requested again: after this time a node counts as failed and a
+    // client that reads nothing as disconnected.
+    private static final double STREAM_STALL_TIMEOUT_MS = 10_000;
+    // How long a long value is only buffered, so that it can still be requested again if its node fails.
+    private static final double MAX_BUFFERING_MS = 100;
+    // Time before the attempt's timeout at which a long value is forwarded at the latest.
+    private static final double FORWARDING_MARGIN_MS = 20;
 
     private final Attempt attempt;
     private final Ticker ticker;
@@ -31,7 +35,10 @@
     private PooledConnection connection;
     private ChannelFuture commandWritten;
     private Ticker.Timeout stallTimer;
+    private Ticker.Timeout announcementTimer;
     private double incompleteSince;
+    /** Whether the reply is known to have a value that is buffered. */
+    private boolean isShort;
     private StreamedValue value;
 
     /** {@code log}: for replies that were given up after they had begun. */
@@ -64,18 +71,41 @@
         if (message instanceof StreamedValueSplitter.Head head) {
             value = new StreamedValue(head.length(), on.channel(), ticker);
             partialMessage(on);
+            scheduleAnnouncement();
+        } else if (message == StreamedValueSplitter.ShortHead.INSTANCE) {
+            isShort = true;
+            cancelTimers();
+            stallTimer = null;
+            partialMessage(on);
         } else if (message instanceof ByteBuf bytes) {
             attempt.progressed();
             partialMessage(on);
-            if (value.append(bytes) && !value.isAnnounced()) {
-                attempt.responseStarted();
-                value.announce(request().receiver());
+            if (value.append(bytes)) {
+                announce();
             }
         } else {
             reply(on, (RedisMessage) message);
         }
     }
 
+    /** A long value meets its deadline by its first byte, so its announcement must not wait for a node that is slow. */
+    private void scheduleAnnouncement() {
+        double delay = Math.min(MAX_BUFFERING_MS, attempt.remaining() - FORWARDING_MARGIN_MS);
+        if (delay > 0) {
+            announcementTimer = ticker.after(delay, this::announce);
+        } else {
+            announce();
+        }
+    }
+
+    /** Passes the value on to the client: the attempt has no timeout from now on. */
+    private void announce() {
+        if (!value.isAnnounced()) {
+            attempt.responseStarted();
+            value.announce(request().receiver());
+        }
+    }
+
     private void reply(PooledConnection on, RedisMessage message) {
         AttemptResult result;
         try {
@@ -87,7 +117,7 @@
             failReply();
             return;
         }
-        cancelTimer();
+        cancelTimers();
         if (value != null) {
             value.complete();
         }
@@ -111,22 +141,27 @@
         return value != null && value.isAnnounced();
     }
 
-    /** Starts the stall timer: guards against a reply that never ends, such as one shorter than its announced length. */
+    /** Starts the stall timer, which ends a reply that stops early, such as one shorter than its announced length. */
     @Override public void partialMessage(PooledConnection on) {
         incompleteSince = ticker.now();
         if (stallTimer == null) {
-            stallTimer = ticker.after(REPLY_STALL_TIMEOUT_MS, this::checkStall);
+            stallTimer = ticker.after(stallTimeout(), this::checkStall);
         }
     }
 
+    private double stallTimeout() {
+        if (isValueAnnounced()) {
+            return STREAM_STALL_TIMEOUT_MS;
+        }
+        return isShort ? SHORT_VALUE_STALL_TIMEOUT_MS : HEAD_STALL_TIMEOUT_MS;
+    }
+
     private void checkStall() {
         boolean streaming = isValueAnnounced();
         double stalled = streaming ? value.stalledMs() : ticker.now() - incompleteSince;
-        double timeout = stallTimeout(streaming);
+        double timeout = stallTimeout();
         if (stalled < timeout) {
-            // Checks again within the shorter timeout, because the wait may change from the client to the node meanwhile.
-            double left = timeout - stalled;
-            stallTimer = ticker.after(streaming ? Math.min(left, STREAM_STALL_TIMEOUT_MS) : left, this::checkStall);
+            stallTimer = ticker.after(timeout - stalled, this::checkStall);
         } else if (streaming && value.waitsForClient()) {
             value.clientStalled();     // no effect if an earlier reply on the client connection is what is stalled
             stallTimer = ticker.after(STREAM_STALL_TIMEOUT_MS, this::checkStall);
@@ -135,19 +170,12 @@
         }
     }
 
-    private double stallTimeout(boolean streaming) {
-        if (!streaming) {
-            return REPLY_STALL_TIMEOUT_MS;
-        }
-        return value.waitsForClient() ? CLIENT_STALL_TIMEOUT_MS : STREAM_STALL_TIMEOUT_MS;
-    }
-
     /**
      * If the connection ends before the command was completely written, the attempt was not executed. Undecodable data in
      * place of a reply is reported as an error, not as a connection failure that suggests a dead node.
      */
     @Override public void connectionFailed(PooledConnection on, Throwable cause) {
-        cancelTimer();
+        cancelTimers();
         boolean notExecuted = commandWritten == null || !commandWritten.isSuccess();
         discardUnannounced();
         logGivenUp("the connection ended" + (cause == null ? "" : ": " + cause.getMessage()));
@@ -158,19 +186,19 @@
         }
     }
 
-    private void cancelTimer() {
+    private void cancelTimers() {
         if (stallTimer != null) {
             stallTimer.cancel();
         }
+        if (announcementTimer != null) {
+            announcementTimer.cancel();
+        }
     }
 
     /** Logs a reply that had begun and is not awaited any more. */
     private void logGivenUp(String why) {
         if (value != null) {
             log.info(ticker.now(), () -> attempt + ": " + value + ": " + why);
-        } else if (stallTimer != null) {
-            log.info(ticker.now(), () -> attempt + ": reply incomplete for " + (long) (ticker.now() - incompleteSince)
-                + " ms: " + why);
         }
     }
 
@@ -182,7 +210,7 @@
 
     /** Closes the connection, which tells the node that its reply is no longer awaited. */
     private void close() {
-        cancelTimer();
+        cancelTimers();
         discardUnannounced();
         if (connection != null) {
             connection.close();
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -147,9 +147,12 @@
             node.writeOutbound(command.forNode(attempt.remaining()));
             ReferenceCountUtil.release(node.readOutbound());
             node.writeInbound(ascii(REPLY));
-            RedisMessage reply = node.readInbound();
-            attempt.ended(NodeReply.read(reply, false));
-            ReferenceCountUtil.release(reply);
+            for (Object message; (message = node.readInbound()) != null;) {
+                if (message instanceof RedisMessage reply) {
+                    attempt.ended(NodeReply.read(reply, false));
+                }
+                ReferenceCountUtil.release(message);
+            }
         }
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/StreamedValueSplitter.java
+++ b/src/main/java/kelphollow/protocol/resp/StreamedValueSplitter.java
@@ -10,13 +10,20 @@
 
 /**
  * Splits a value that is too long to be buffered out of a node's reply: passes on its length as a {@link Head}, then its
- * bytes as they arrive, then the remaining elements as a separate array. All other messages pass unchanged. Rejects a
+ * bytes as they arrive, then the remaining elements as a separate array. All other messages pass unchanged, behind a
+ * {@link ShortHead} if they are a value. Rejects a
  * header that announces more than {@link RespCodec#MAX_VALUE_BYTES}. Follows the decoder; one instance per exchange.
  */
 final class StreamedValueSplitter extends ChannelInboundHandlerAdapter {
     /** Announces a value of {@code length} bytes; they follow as buffers that the receiver releases. */
     record Head(long length) {}
 
+    /** Announces a value that is short enough to be buffered. */
+    enum ShortHead {
+        /** The only instance: the value's length does not matter. */
+        INSTANCE
+    }
+
     private enum State {
         /** Nothing of the reply has been received. */
         AWAITING_REPLY,
@@ -70,6 +77,7 @@
 
     private void pass(ChannelHandlerContext context, Object message) {
         if (state == State.AWAITING_VALUE) {
+            context.fireChannelRead(ShortHead.INSTANCE);
             context.fireChannelRead(heldHeader);
             heldHeader = null;
         }
