Look up and evict volumes in constant time, and keep at most 10,000 of them

Cause: above 1,000 volumes VolumeTable.of looked through all of them at each new name, and ArrivalCurveTagger passed over all volumes at each arrival; a volume stayed for 60 s however many there were. Evidence: 4 of 4 thread dumps in VolumeTable.evictIdle, a stall of 5.4 s, 16,157 volumes after 6 s. Change: volumes are kept in the order of their last request and evicted from its head; the tagger keeps the set of backlogged ones. At 10,000 the least recently used volume without open requests and with a full limit is forgotten (a limit created anew holds no more), and if there is none the new volume is rejected.

--- a/src/main/java/kelphollow/decision/ArrivalCurveTagger.java
+++ b/src/main/java/kelphollow/decision/ArrivalCurveTagger.java
@@ -1,5 +1,8 @@
 package kelphollow.decision;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 /**
  * Assigns arrival-curve tags as in pClock (Gulati, Merchant and Varman, "pClock: an arrival curve based
  * approach for QoS guarantees in shared storage systems", SIGMETRICS 2007). A flow is a {@link Volume}; its
@@ -10,12 +13,12 @@
     private static final double MS_PER_SECOND = 1000;
 
     private final DecisionContext context;
-    private final VolumeTable volumes;
     private final PendingQueues queues;
+    /** Volumes with tagged requests: the backlogged flows. */
+    private final Set<Volume> backlogged = new LinkedHashSet<>();
 
-    ArrivalCurveTagger(DecisionContext context, VolumeTable volumes, PendingQueues queues) {
+    ArrivalCurveTagger(DecisionContext context, PendingQueues queues) {
         this.context = context;
-        this.volumes = volumes;
         this.queues = queues;
     }
 
@@ -36,7 +39,19 @@
         if (v.tagged.isEmpty()) {
             v.minS = request.startTag;
         }
-        v.tagged.add(request);
+        addTagged(request);
+    }
+
+    private void addTagged(PendingRequest request) {
+        request.volume.tagged.add(request);
+        backlogged.add(request.volume);
+    }
+
+    private void removeTagged(PendingRequest request) {
+        request.volume.tagged.remove(request);
+        if (request.volume.tagged.isEmpty()) {
+            backlogged.remove(request.volume);
+        }
     }
 
     /**
@@ -62,18 +77,14 @@
      */
     private void adjustTags() {
         double gap = Double.POSITIVE_INFINITY;
-        for (Volume v : volumes.all()) {
-            if (!v.tagged.isEmpty()) {
-                gap = Math.min(gap, v.minS - context.now());
-            }
+        for (Volume v : backlogged) {
+            gap = Math.min(gap, v.minS - context.now());
         }
         if (gap <= 0 || gap == Double.POSITIVE_INFINITY) {
             return;
         }
-        for (Volume v : volumes.all()) {
-            if (!v.tagged.isEmpty()) {
-                shiftBack(v, gap);
-            }
+        for (Volume v : backlogged) {
+            shiftBack(v, gap);
         }
     }
 
@@ -91,12 +102,12 @@
         if (!request.late) {
             request.volume.minS = request.startTag;
         }
-        request.volume.tagged.remove(request);
+        removeTagged(request);
     }
 
     /** Makes a request that is queued for a retry and not late subject to tag adjustment again. */
     void requeued(PendingRequest request) {
-        request.volume.tagged.add(request);
+        addTagged(request);
     }
 
     /**
@@ -107,7 +118,7 @@
      */
     void returnTokens(PendingRequest request) {
         Volume v = request.volume;
-        v.tagged.remove(request);
+        removeTagged(request);
         if (!request.tokensSpent) {
             return;
         }
--- a/src/main/java/kelphollow/decision/OpenRequests.java
+++ b/src/main/java/kelphollow/decision/OpenRequests.java
@@ -35,10 +35,13 @@
 
     void add(PendingRequest request) {
         byId.put(request.id(), request);
+        request.volume.openRequests++;
     }
 
     void remove(PendingRequest request) {
-        byId.remove(request.id());
+        if (byId.remove(request.id(), request)) {
+            request.volume.openRequests--;
+        }
     }
 
     /** All open requests, oldest first. */
--- a/src/main/java/kelphollow/decision/RateLimiter.java
+++ b/src/main/java/kelphollow/decision/RateLimiter.java
@@ -101,6 +101,11 @@
         return unitsPerMs <= 0 || refill(now) >= units;
     }
 
+    /** Whether the bucket holds all that it can, with nothing left to repay, or there is no limit. */
+    boolean isFull(double now) {
+        return unitsPerMs <= 0 || refill(now) >= burst;
+    }
+
     /** Removes this many units, even if the bucket holds fewer. */
     void consume(double units) {
         if (unitsPerMs > 0) {
--- a/src/main/java/kelphollow/decision/RequestArrivals.java
+++ b/src/main/java/kelphollow/decision/RequestArrivals.java
@@ -27,7 +27,12 @@
             state.actions.add(new RejectRequest(arrival.id(), 0, Reason.UNKNOWN_CLASS));
             return;
         }
-        PendingRequest request = open(arrival, requestClass, plan);
+        Volume volume = state.volumes.of(arrival, plan);
+        if (volume == null) {
+            state.actions.add(new RejectRequest(arrival.id(), state.context.settings().maxRetryAfter(), Reason.LOAD_SHED));
+            return;
+        }
+        PendingRequest request = open(arrival, requestClass, volume);
         if (request.volume.limiter.holdsOnlyAfter(request.objectiveAt, arrival.units(), state.now())) {
             answers.answer(request, Reason.RATE_LIMITED);
         } else if (arrival.isRetry() && !state.retries.admitsClientRetry(arrival)) {
@@ -37,11 +42,10 @@
         }
     }
 
-    private PendingRequest open(RequestArrived arrival, RequestClass requestClass, Plan plan) {
+    private PendingRequest open(RequestArrived arrival, RequestClass requestClass, Volume volume) {
         state.sizes.arrived(arrival.units());
         long sequence = state.requests.nextSequence();
         double admissionDraw = state.context.random().nextDouble();
-        Volume volume = state.volumes.of(arrival, plan);
         PendingRequest request = new PendingRequest(arrival, requestClass, volume, sequence, admissionDraw,
             state.context, state.requests.shutdownAt());
         state.requests.add(request);
--- a/src/main/java/kelphollow/decision/SchedulerState.java
+++ b/src/main/java/kelphollow/decision/SchedulerState.java
@@ -30,7 +30,7 @@
             new Random(seed * SEED_FACTOR));
         sizes = new RequestSizes(settings.meanUnits());
         volumes = new VolumeTable(context, sizes);
-        tagger = new ArrivalCurveTagger(context, volumes, queues);
+        tagger = new ArrivalCurveTagger(context, queues);
         nodes = new NodeTable(context, new FleetLatency(context));
         retries = new RetryPolicy(context, nodes);
         keyOrders = new KeyOrders(context);
--- a/src/main/java/kelphollow/decision/Volume.java
+++ b/src/main/java/kelphollow/decision/Volume.java
@@ -27,6 +27,10 @@
     /** The earliest start tag among the tagged requests. */
     double minS;
     double lastArrivalAt;
+    /** Time of the last request, including those that were rejected on arrival. */
+    double lastRequestAt;
+    /** Requests without a final answer. */
+    int openRequests;
 
     private final DecisionContext context;
     private final RequestSizes sizes;
@@ -57,6 +61,14 @@
         return usage.share(1.0 / limiter.instances(), context.settings().meanUnits());
     }
 
+    /**
+     * Whether the volume can be forgotten: nothing of it is open, and a limiter created anew would hold no more
+     * tokens than its own.
+     */
+    boolean isEvictable() {
+        return openRequests == 0 && limiter.isFull(context.now());
+    }
+
     /** Rate of the arrival curve, units per second. */
     double rho() {
         return plan.rate() * share();
--- a/src/main/java/kelphollow/decision/VolumeTable.java
+++ b/src/main/java/kelphollow/decision/VolumeTable.java
@@ -1,7 +1,7 @@
 package kelphollow.decision;
 
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,12 +14,17 @@
 final class VolumeTable {
     /** Number of volumes from which on idle ones are evicted. */
     static final int IDLE_EVICTION_THRESHOLD = 1_000;
+    /** Largest number of volumes; a request of a further one is rejected unless another can be evicted. */
+    static final int MAX_VOLUMES = 10_000;
+    /** Number of volumes that cannot be evicted after which the search for one that can ends. */
+    private static final int MAX_UNEVICTABLE = 64;
     /** Time without requests after which a volume is idle, in milliseconds. */
     static final double IDLE_AFTER_MS = 60_000;
 
     private final DecisionContext context;
     private final RequestSizes sizes;
-    private final Map<String, Volume> byName = new LinkedHashMap<>();
+    /** In the order of their last request, least recent first. */
+    private final Map<String, Volume> byName = new LinkedHashMap<>(16, 0.75f, true);
     /** Tokens that a previous process left, kept until the first request of their volume. */
     private final Map<String, Double> restoredTokens = new HashMap<>();
     /** Tokens handed over to the next process, by volume; null before that. */
@@ -65,15 +70,23 @@
         restoredTokens.putAll(tokens);
     }
 
-    /** The volume of a request; its limit is shared by the number of instances given in the request. */
+    /**
+     * The volume of a request; its limit is shared by the number of instances given in the request. Null if the
+     * volume is not in memory and there is no room for it.
+     */
     Volume of(RequestArrived arrival, Plan plan) {
         String name = arrival.volume() == null ? "" : arrival.volume();
         int instances = Math.max(1, arrival.instances());
         double now = context.now();
-        if (byName.size() >= IDLE_EVICTION_THRESHOLD && !byName.containsKey(name)) {
-            evictIdle();
+        Volume volume = byName.get(name);
+        if (volume == null) {
+            if (!makeRoom(now)) {
+                return null;
+            }
+            volume = create(plan, instances);
+            byName.put(name, volume);
         }
-        Volume volume = byName.computeIfAbsent(name, n -> create(plan, instances));
+        volume.lastRequestAt = now;
         volume.limiter.setInstances(instances, now);
         if (!restoredTokens.isEmpty()) {
             Double tokens = restoredTokens.remove(name);
@@ -93,17 +106,27 @@
     }
 
     /**
-     * Evicts idle volumes, so that names invented by clients do not fill memory. The token bucket of a volume
-     * that was idle for so long is full, so nothing is lost.
+     * Evicts volumes, so that names invented by clients do not fill memory. Takes constant time for each new volume,
+     * since the least recently used ones come first. Returns whether there is room for one more.
      */
-    private void evictIdle() {
-        double now = context.now();
-        byName.values().removeIf(v -> v.tagged.isEmpty() && now - v.lastArrivalAt > IDLE_AFTER_MS);
-    }
-
-    /** All volumes in the order of their first request. */
-    Collection<Volume> all() {
-        return byName.values();
+    private boolean makeRoom(double now) {
+        if (byName.size() < IDLE_EVICTION_THRESHOLD) {
+            return true;
+        }
+        int unevictableLeft = MAX_UNEVICTABLE;
+        for (Iterator<Volume> eldest = byName.values().iterator(); unevictableLeft > 0 && eldest.hasNext();) {
+            Volume volume = eldest.next();
+            boolean idle = now - volume.lastRequestAt > IDLE_AFTER_MS;
+            if (!idle && byName.size() < MAX_VOLUMES) {
+                break;
+            }
+            if (volume.isEvictable()) {
+                eldest.remove();
+            } else {
+                unevictableLeft--;
+            }
+        }
+        return byName.size() < MAX_VOLUMES;
     }
 
     int size() {
--- a/src/test/java/kelphollow/decision/VolumeTableTest.java
+++ b/src/test/java/kelphollow/decision/VolumeTableTest.java
@@ -1,7 +1,9 @@
 package kelphollow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
 import java.util.Map;
@@ -10,6 +12,7 @@
 
 /** Creation, token restoration and eviction of volumes. */
 class VolumeTableTest {
+    private static final double FULL_AFTER_MS = 60_000;
     private final StateHarness harness = new StateHarness();
     private final VolumeTable volumes = harness.state.volumes;
 
@@ -52,6 +55,39 @@
         assertEquals(Map.of(), volumes.limitTokens());
     }
 
+    @Test void aFloodOfNewVolumesEvictsTheLeastRecentlyUsedOnes() {
+        harness.advance(FULL_AFTER_MS);                  // so that the limits of new volumes are full
+        for (int i = 0; i < VolumeTable.MAX_VOLUMES; i++) {
+            of("v" + i, 1);
+        }
+        Volume first = of("v0", 1);
+
+        assertNotNull(of("new", 1));
+
+        assertEquals(VolumeTable.MAX_VOLUMES, volumes.size());
+        assertSame(first, of("v0", 1), "used since v1");
+    }
+
+    @Test void aVolumeWhoseLimitIsNotFullIsNotForgottenInAFlood() {
+        harness.advance(FULL_AFTER_MS);
+        Volume spent = of("spent", 1);
+        spent.limiter.consume(1);
+        for (int i = 0; i <= VolumeTable.MAX_VOLUMES; i++) {
+            of("v" + i, 1);
+        }
+
+        assertSame(spent, of("spent", 1));
+    }
+
+    @Test void aNewVolumeIsRejectedIfNoneCanBeForgotten() {
+        harness.advance(FULL_AFTER_MS);
+        for (int i = 0; i < VolumeTable.MAX_VOLUMES; i++) {
+            of("v" + i, 1).limiter.consume(1);
+        }
+
+        assertNull(of("new", 1));
+    }
+
     @Test void idleVolumesAreEvictedAboveTheThreshold() {
         for (int i = 0; i < VolumeTable.IDLE_EVICTION_THRESHOLD; i++) {
             of("v" + i, 1);
