Decode and handle a bounded part of a client's input in each turn of the event loop

Cause: one connection could bring 256 KiB, some 18,000 commands, into one turn, all decoded and handled before others were read. Requests were forwarded though the socket had input that was not read yet. Change: InboundPacer holds up to 16 KiB undecoded; a connection decodes and handles up to 64 commands a turn and 4,000 a second after a burst of 512 (CommandThrottle, in place of ReadThrottle). Commands are handled once the socket was read to its end; while more input comes than can be held, requests are rejected unforwarded.

--- a/src/main/java/kelphollow/decision/RequestArrivals.java
+++ b/src/main/java/kelphollow/decision/RequestArrivals.java
@@ -29,7 +29,8 @@
         }
         Volume volume = state.volumes.of(arrival, plan);
         if (volume == null) {
-            state.actions.add(new RejectRequest(arrival.id(), state.context.settings().maxRetryAfter(), Reason.LOAD_SHED));
+            double retryAfter = state.context.settings().maxRetryAfter();
+            state.actions.add(new RejectRequest(arrival.id(), retryAfter, Reason.LOAD_SHED));
             return;
         }
         PendingRequest request = open(arrival, requestClass, volume);
--- a/src/main/java/kelphollow/decision/Volume.java
+++ b/src/main/java/kelphollow/decision/Volume.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * Whether the volume can be forgotten: nothing of it is open, and a limiter created anew would hold no more
-     * tokens than its own.
+     * Whether the volume can be forgotten: nothing of it is open, and a limiter created anew
+     * would hold no more tokens than its own.
      */
     boolean isEvictable() {
         return openRequests == 0 && limiter.isFull(context.now());
--- a/src/main/java/kelphollow/decision/VolumeTable.java
+++ b/src/main/java/kelphollow/decision/VolumeTable.java
@@ -71,8 +71,8 @@
     }
 
     /**
-     * The volume of a request; its limit is shared by the number of instances given in the request. Null if the
-     * volume is not in memory and there is no room for it.
+     * The volume of a request; its limit is shared by the number of instances given in the request.
+     * Null if the volume is not in memory and there is no room for it.
      */
     Volume of(RequestArrived arrival, Plan plan) {
         String name = arrival.volume() == null ? "" : arrival.volume();
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Evicts volumes, so that names invented by clients do not fill memory. Takes constant time for each new volume,
-     * since the least recently used ones come first. Returns whether there is room for one more.
+     * Evicts volumes, so that names invented by clients do not fill memory. Takes constant time for each
+     * new volume, since the least recently used ones come first. Returns whether there is room for one more.
      */
     private boolean makeRoom(double now) {
         if (byName.size() < IDLE_EVICTION_THRESHOLD) {
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -26,21 +27,18 @@
  */
 final class RespConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(RespConnection.class.getName());
-    // Further requests are rejected on arrival. Reading does not stop at the limit, because a client's disconnect is only
-    // detected on a connection that is read.
+    // Further requests are rejected on arrival.
     private static final int MAX_OPEN_REQUESTS = 256;
     // Commands whose replies are not yet written, about 100 bytes each. One more closes the connection.
     private static final int MAX_PENDING_REPLIES = 4_096;
     private static final int MAX_ERROR_LENGTH = 200;
 
-    /** A decoded message and the bytes that it occupies; null in place of one that was rejected for lack of memory. */
-    private record DecodedCommand(RedisMessage message, int bytes) {
-        private static final DecodedCommand REJECTED = new DecodedCommand(null, 0);
+    /** How much of a client's input a turn decodes and handles, so that other connections get their turns. */
+    private static final int COMMANDS_PER_TURN = 64;
+    private static final int BYTES_PER_TURN = 64 * 1024;
 
-        boolean isRejected() {
-            return message == null;
-        }
-    }
+    /** Why the client's input cannot be parsed any further, and the error that tells the client. */
+    private record InputFailure(String error, CloseReason reason) {}
 
     private enum State {
         /** Commands are accepted. */
@@ -57,15 +55,17 @@
     private final Ticker ticker;
     private final Channel channel;
     private final ConnectionActivity activity;
-    private final ReadThrottle throttle;
+    private final CommandThrottle throttle;
+    private final InboundPacer input;
     private final ArrayDeque<ReplySlot> slots = new ArrayDeque<>();
     private final CommandMemory memory;
-    /** Commands that are decoded and not yet handled. */
-    private final ArrayDeque<DecodedCommand> decoded = new ArrayDeque<>();
-    /** Whether the input cannot be decoded any further. */
+    private final DecodedCommands decoded;
+    /** Set once the input cannot be decoded any further; reported behind the commands that were decoded before. */
+    private InputFailure inputFailure;
     private boolean inputDiscarded;
+    private boolean turnScheduled;
     private State state = State.SERVING;
-    /** Whether a loop task that handles decoded messages is scheduled or running; replies are flushed at its end. */
+    /** Whether commands are being handled; replies are flushed at the end of that. */
     private boolean handling;
     private boolean unflushed;
     private ChannelFuture lastWrite;
@@ -80,8 +80,15 @@
         this.ticker = ticker;
         this.channel = channel;
         this.activity = new ConnectionActivity(ticker);
-        this.throttle = new ReadThrottle(this, channel, ticker);
+        this.throttle = new CommandThrottle(ticker.now());
+        this.input = new InboundPacer(this::inputRead);
         this.memory = new CommandMemory(front.memory(), () -> front.commandIncomplete(this));
+        this.decoded = new DecodedCommands(memory);
+    }
+
+    /** The handler that is to be the first of the connection's pipeline. */
+    InboundPacer input() {
+        return input;
     }
 
     CommandMemory memory() {
@@ -90,7 +97,11 @@
 
     /** Whether no command awaits its reply and the last reply has been written to the socket. */
     boolean isIdle() {
-        return slots.isEmpty() && decoded.isEmpty() && (lastWrite == null || lastWrite.isDone());
+        return hasNoCommands() && (lastWrite == null || lastWrite.isDone());
+    }
+
+    private boolean hasNoCommands() {
+        return slots.isEmpty() && decoded.isEmpty() && input.isEmpty() && inputFailure == null;
     }
 
     ConnectionActivity activity() {
@@ -109,57 +120,117 @@
         openRequests--;
     }
 
+    /** A command was decoded. */
     @Override public void channelRead(ChannelHandlerContext context, Object message) {
+        front.commandEnded(this);
         if (inputDiscarded) {
             ReferenceCountUtil.release(message);
-            return;
-        }
-        int bytes = endIncomplete();
-        if (memory.accept(bytes)) {
-            decoded.add(new DecodedCommand((RedisMessage) message, bytes));
         } else {
-            ReferenceCountUtil.release(message);
-            decoded.add(DecodedCommand.REJECTED);
+            decoded.add((RedisMessage) message);
         }
     }
 
-    private int endIncomplete() {
-        front.commandEnded(this);
-        return memory.endIncomplete();
-    }
-
     /**
-     * Schedules the handling of decoded commands for after the read. If the client closed right behind its commands, the
-     * channel is inactive by then, and its requests are not forwarded.
+     * The socket has been read. Commands are handled after the loop has read all sockets: if the client closed right behind
+     * its commands, the channel is inactive by then, and its requests are not forwarded.
      */
-    @Override public void channelReadComplete(ChannelHandlerContext context) {
-        boolean complete = !decoded.isEmpty();
-        activity.readEnded(complete);
+    private void inputRead() {
+        activity.touch();
         front.markActive(this);
-        if (!complete) {
-            flushReplies();
-        } else if (!handling) {
+        scheduleTurn();
+    }
+
+    private void scheduleTurn() {
+        if (!turnScheduled) {
+            turnScheduled = true;
+            channel.eventLoop().execute(this::turn);
+        }
+    }
+
+    /** Schedules a turn for the loop's next iteration, so that other connections are read before it. */
+    private void scheduleNextTurn() {
+        double wait = throttle.waitFor(ticker.now());
+        if (turnScheduled) {
+            return;
+        }
+        turnScheduled = true;
+        if (wait > 0) {
+            ticker.after(wait, this::turn);
+        } else if (channel.eventLoop() instanceof SingleThreadEventLoop loop) {
+            loop.executeAfterEventLoopIteration(() -> loop.execute(this::turn));
+        } else {
+            channel.eventLoop().execute(this::turn);
+        }
+    }
+
+    /** Decodes and handles as much of the input as one turn may. */
+    private void turn() {
+        turnScheduled = false;
+        if (state != State.SERVING || !channel.isActive()) {
+            return;
+        }
+        if (throttle.waitFor(ticker.now()) <= 0 && channel.isWritable()) {
+            decode();
             handling = true;
-            channel.eventLoop().execute(this::handleDecoded);
+            handleDecoded();
+            handling = false;
+        }
+        flushReplies();
+        if (state == State.SERVING && channel.isWritable() && hasInput()) {
+            scheduleNextTurn();
+        }
+    }
+
+    private boolean hasInput() {
+        return !input.isEmpty() || !decoded.isEmpty() || inputFailure != null;
+    }
+
+    private void decode() {
+        int before = decoded.size();
+        int bytes = 0;
+        while (bytes < BYTES_PER_TURN && decoded.size() - before < COMMANDS_PER_TURN && !decoded.isFull()) {
+            int length = input.decodeNext();
+            bytes += length;
+            if (length == 0 && !readOn()) {
+                break;
+            }
+        }
+        if (bytes > 0) {
+            activity.readEnded(decoded.size() > before);
         }
     }
 
+    /** Reads the socket once more unless that was read to its end; returns whether there is more to decode. */
+    private boolean readOn() {
+        if (!input.isDrained()) {
+            input.readNow();
+        }
+        return !input.isEmpty();
+    }
+
+    /** Handles commands once all input is read, so that the disconnect of their client is known, or no more can be held. */
     private void handleDecoded() {
-        for (DecodedCommand command; (command = decoded.poll()) != null;) {
-            memory.release(command.bytes());        // a slot that needs them counts them again
+        boolean settled = input.isDrained() && input.isEmpty() || decoded.isFull() || inputFailure != null;
+        for (int i = 0; settled && i < COMMANDS_PER_TURN && !decoded.isEmpty(); i++) {
+            if (state != State.SERVING || !channel.isWritable() || throttle.waitFor(ticker.now()) > 0) {
+                return;
+            }
+            DecodedCommands.Command command = decoded.poll();
+            throttle.handled();
             try {
-                if (state == State.SERVING && channel.isActive()) {
-                    handle(command);
-                }
+                handle(command);
             } finally {
                 ReferenceCountUtil.release(command.message());
             }
         }
-        handling = false;
-        flushReplies();
+        if (decoded.isEmpty() && inputFailure != null && state == State.SERVING) {
+            InputFailure failure = inputFailure;
+            inputFailure = null;
+            failConnection(addSlot(), failure.error(), failure.reason());
+        }
     }
 
-    private void handle(DecodedCommand command) {
+    private void handle(DecodedCommands.Command command) {
         ReplySlot slot = addSlot();
         RedisMessage message = command.message();
         if (slots.size() > MAX_PENDING_REPLIES) {
@@ -202,7 +273,8 @@
             return;
         }
         slot.reserve(command.idText());
-        if (openRequests >= MAX_OPEN_REQUESTS || !slot.countMemory(bytes)) {
+        // With unread input the client may have left already: its request must not be forwarded.
+        if (!input.isDrained() || openRequests >= MAX_OPEN_REQUESTS || !slot.countMemory(bytes)) {
             slot.rejected(0, false);
         } else {
             slot.submit(arrival, command);
@@ -215,7 +287,7 @@
 
     private void invalid(ReplySlot slot, String error) {
         slot.reply(new ErrorRedisMessage(RespWireNames.ERROR + " " + error));
-        throttle.invalidCommand();
+        throttle.invalid(ticker.now());
     }
 
     /** Replies with an error after which no input can be parsed. Earlier commands still get their replies, in order. */
@@ -229,22 +301,45 @@
     private void discardInput() {
         if (!inputDiscarded) {
             inputDiscarded = true;
+            input.discard();
             RespCodec.discardInput(channel.pipeline());
-            endIncomplete();
+            front.commandEnded(this);
+            memory.endIncomplete();
         }
     }
 
     /** Discards the incomplete command, to make room for those of others; earlier commands still get their replies. */
     void evictIncomplete() {
-        discardInput();
-        channel.eventLoop().execute(() -> failInput("ERR too many incomplete commands",
-            CloseReason.INCOMPLETE_COMMAND_EVICTED));
+        failInput("ERR too many incomplete commands", CloseReason.INCOMPLETE_COMMAND_EVICTED);
     }
 
     private void failInput(String error, CloseReason reason) {
-        if (state == State.SERVING && channel.isActive()) {
-            handleDecoded();               // commands received before the input that failed
-            failConnection(addSlot(), error, reason);
+        discardInput();
+        if (state == State.SERVING && inputFailure == null) {
+            inputFailure = new InputFailure(error, reason);
+            scheduleTurn();
+        }
+    }
+
+    /**
+     * Closes the connection if it is idle and nothing has arrived on it that was not read yet. What arrives later stays
+     * unread: the reset tells the client that its request was not taken.
+     */
+    void closeIfIdle(CloseReason reason) {
+        if (isIdle()) {
+            input.readNow();
+        }
+        if (isIdle() && state == State.SERVING) {
+            closesFor(reason);
+            markClosed();
+            channel.close();
+        }
+    }
+
+    /** Ends a connection whose client does not stop sending in a shutdown, unless replies are awaited. */
+    void endInput() {
+        if (slots.isEmpty()) {
+            close(CloseReason.SHUTDOWN);
         }
     }
 
@@ -258,6 +353,16 @@
         }
     }
 
+    /** Closes the connection after its last reply, in a shutdown; requests that arrive meanwhile stay unread. */
+    private void closeForShutdown() {
+        input.readNow();
+        if (hasNoCommands() && state == State.SERVING) {
+            closesFor(CloseReason.SHUTDOWN);
+            markClosed();
+            front.lingeringCloseUnread(channel);
+        }
+    }
+
     /** Closes the connection at once, which shows the client that the value on it is truncated. */
     void abort(CloseReason reason) {
         closesFor(reason);
@@ -277,7 +382,6 @@
                 slots.stream().filter(ReplySlot::isOpen).map(ReplySlot::id).collect(Collectors.joining(" ")));
         }
         state = State.CLOSED;
-        throttle.stop();
         front.remove(this);
     }
 
@@ -292,10 +396,22 @@
             activity.touch();
             front.markActive(this);
         }
-        if (slots.isEmpty() && decoded.isEmpty() && (state == State.CLOSING || front.isShuttingDown())) {
-            close(CloseReason.SHUTDOWN);
+        if (state == State.CLOSING && slots.isEmpty()) {
+            close(closeReason);
+        } else if (state == State.SERVING && front.isShuttingDown() && hasNoCommands() && !handling) {
+            closeForShutdown();
+        }
+        updateReading();
+    }
+
+    /**
+     * Reading stops while the channel is not writable, which bounds the memory held for a client that does not read its
+     * replies (when such a client disconnects, the pending write fails), and while what was read waits to be decoded.
+     */
+    private void updateReading() {
+        if (state != State.CLOSED) {
+            channel.config().setAutoRead(channel.isWritable() && (inputDiscarded || input.hasRoom()));
         }
-        throttle.update();
     }
 
     /** Writes a slot's reply. Returns false while its value is still streaming, which holds back the replies after it. */
@@ -314,19 +430,21 @@
     }
 
     @Override public void channelWritabilityChanged(ChannelHandlerContext context) {
-        throttle.update();
+        updateReading();
         if (!slots.isEmpty() && slots.peek().value() != null) {
             slots.peek().value().progressed();
         }
+        if (channel.isWritable() && hasInput()) {
+            scheduleTurn();
+        }
     }
 
     @Override public void channelInactive(ChannelHandlerContext context) {
         markClosed();
-        for (DecodedCommand command; (command = decoded.poll()) != null;) {
-            memory.release(command.bytes());
-            ReferenceCountUtil.release(command.message());
-        }
-        endIncomplete();
+        decoded.clear();
+        input.discard();
+        front.commandEnded(this);
+        memory.endIncomplete();
         slots.forEach(ReplySlot::disconnected);
         slots.clear();
         front.checkShutdown();
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -1,6 +1,8 @@
 package kelphollow.protocol.resp;
 
 import io.netty.channel.Channel;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -21,6 +23,8 @@
     // connections start to close 500 ms before the kill, and the process must have exited by then.
     private static final double LINGER_CLIENT_TIMEOUT_MS = 250;
     private static final double LINGER_OVERALL_TIMEOUT_MS = 400;
+    /** Time in a shutdown after which clients that still send are not read any more. */
+    private static final double INPUT_END_MS = 150;
     /** One connection may be in a lingering close for this many that may be open. */
     private static final int CONNECTIONS_PER_LINGERING = 6;
     // Only connections that have been idle for this long are evicted, so that new ones are not.
@@ -87,6 +91,7 @@
 
     @Override public void accept(Channel channel) {
         RespConnection connection = new RespConnection(this, router, intake, ticker, channel);
+        channel.pipeline().addLast(connection.input());
         channel.pipeline().addLast(RespCodec.forClient(connection.memory()));
         connections.add(connection);
         log.accepted();
@@ -100,32 +105,36 @@
             boolean crowded = withRequests > maxConnections / 2;
             List.copyOf(connections).stream()
                 .filter(connection -> connection.isIdle() && connection.activity().hasExpired(crowded))
-                .forEach(connection -> connection.close(CloseReason.IDLE));
+                .forEach(connection -> connection.closeIfIdle(CloseReason.IDLE));
             scheduleSweep();
         });
     }
 
     /** Closes the longest idle connection that has sent no request, or else the longest idle one. */
     @Override public void evictIdle() {
-        RespConnection evicted = null;
+        List<RespConnection> idle = new ArrayList<>();
         for (RespConnection connection : connections) {
             if (connection.activity().idleMs() < MIN_IDLE_TO_EVICT_MS) {
                 break;
             }
-            boolean preferred = evicted == null
-                || evicted.activity().hasRequested() && !connection.activity().hasRequested();
-            if (connection.isIdle() && preferred) {
-                evicted = connection;
+            if (connection.isIdle()) {
+                idle.add(connection);
             }
         }
-        if (evicted != null) {
-            evicted.close(CloseReason.EVICTED);
+        idle.sort(Comparator.comparing(connection -> connection.activity().hasRequested()));
+        int before = connections.size();
+        for (RespConnection candidate : idle) {
+            if (connections.size() < before) {
+                return;
+            }
+            candidate.closeIfIdle(CloseReason.EVICTED);    // no effect if a request has arrived on it
         }
     }
 
     @Override public void shutDown(Runnable whenClosed) {
         whenShutDown = whenClosed;
         List.copyOf(connections).forEach(RespConnection::flushReplies);
+        ticker.after(INPUT_END_MS, () -> List.copyOf(connections).forEach(RespConnection::endInput));
         checkShutdown();
     }
 
@@ -167,6 +176,10 @@
         incomplete.remove(connection);
     }
 
+    void lingeringCloseUnread(Channel channel) {
+        lingering.beginUnread(channel);
+    }
+
     void lingeringClose(Channel channel) {
         lingering.begin(channel);
     }
--- a/src/main/java/kelphollow/transport/LingeringClose.java
+++ b/src/main/java/kelphollow/transport/LingeringClose.java
@@ -56,9 +56,26 @@
             channel.close();
             return;
         }
-        connections++;
         channel.pipeline().addFirst(new Discard());
         channel.config().setAutoRead(true);
+        shutDownOutput(socket);
+    }
+
+    /**
+     * Like {@link #begin}, but without reading any input, for a client that may send a further request: a request that
+     * crosses the close is reset unread, which tells the client that it was not taken.
+     */
+    public void beginUnread(Channel channel) {
+        if (!(channel instanceof SocketChannel socket) || !channel.isActive() || connections >= maxConnections) {
+            channel.close();
+            return;
+        }
+        channel.config().setAutoRead(false);
+        shutDownOutput(socket);
+    }
+
+    private void shutDownOutput(SocketChannel channel) {
+        connections++;
         Ticker.Timeout overall = ticker.after(overallTimeout, channel::close);
         channel.closeFuture().addListener(closed -> {
             connections--;
@@ -66,7 +83,7 @@
         });
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> {
             if (channel.isActive()) {
-                socket.shutdownOutput();
+                channel.shutdownOutput();
                 ticker.after(clientTimeout, channel::close);
             }
         });
