--- a/src/main/java/kelphollow/protocol/object/ObjectConnection.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectConnection.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import kelphollow.routing.Invariant;
 import kelphollow.transport.CloseReason;
+import kelphollow.transport.SocketInput;
 
 /**
  * A client's connection, with one exchange at a time. It reads on demand, so that bodies do not pile up in memory. While a
@@ -56,8 +57,9 @@
         double delay = isIdle() ? idleTracker.remaining() : services.options().stallTimeout();
         services.ticker().after(delay, () -> {
             if (isIdle() && idleTracker.hasExpired()) {
-                close(CloseReason.IDLE);
-            } else if (channel.isOpen()) {
+                closeIfIdle(CloseReason.IDLE);
+            }
+            if (channel.isOpen()) {
                 scheduleIdleCheck();
             }
         });
@@ -203,9 +205,20 @@
         return idleTracker.idleSince();
     }
 
+    /**
+     * Closes the connection if it is idle and no request has arrived on it that was not read yet. What arrives later stays
+     * unread: the reset tells the client that its request was not taken.
+     */
     void closeIfIdle(CloseReason reason) {
         if (isIdle()) {
-            close(reason);
+            SocketInput.readNow(channel);
+        }
+        if (isIdle() && !closing) {
+            closesFor(reason);
+            closing = true;
+            inbound.release();
+            remove();
+            channel.close();
         }
     }
 
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -101,10 +101,16 @@
      */
     @Override public void evictIdle() {
         double now = services.now();
-        connections.stream()
+        int before = connections.size();
+        List<ObjectConnection> idle = connections.stream()
             .filter(connection -> connection.isIdle() && now - connection.idleSince() >= MIN_IDLE_TO_EVICT_MS)
-            .min(Comparator.comparingDouble(ObjectConnection::idleSince))
-            .ifPresent(connection -> connection.closeIfIdle(CloseReason.EVICTED));
+            .sorted(Comparator.comparingDouble(ObjectConnection::idleSince)).toList();
+        for (ObjectConnection candidate : idle) {
+            if (connections.size() < before) {
+                return;
+            }
+            candidate.closeIfIdle(CloseReason.EVICTED);    // no effect if a request has arrived on it
+        }
     }
 
     @Override public void shutDown(Runnable whenClosed) {
