Forward a write under one id once, also after its client left and over an upgrade

Cause: RequestIntake knew an id only while its request was open; it was free again once the client had left, although an attempt might have run; the processes of an upgrade knew nothing of each other's ids. Change: ForwardedIds registers the id of a request that may not simply be repeated when its command is written to a node, and forgets it if every attempt proves not to have run; a request with a registered id fails. The last 8,192 are kept in memory, and, where the clients' socket is inherited, as one empty file each in the shared folder: creating it is atomic, so that of two processes one forwards. A folder that fails leaves each process its own ids.

--- a/src/main/java/kelphollow/program/PlatformScheduler.java
+++ b/src/main/java/kelphollow/program/PlatformScheduler.java
@@ -12,6 +12,8 @@
 import kelphollow.decision.ControlSettings.RequestClass;
 import kelphollow.decision.EndpointListLease;
 import kelphollow.protocol.discovery.DiscoveryWatch;
+import kelphollow.protocol.resp.ForwardedIds;
+import kelphollow.protocol.resp.RecentForwardedIds;
 import kelphollow.protocol.resp.RespBackend;
 import kelphollow.protocol.resp.RespFront;
 import kelphollow.retune.SettingsReload;
@@ -29,6 +31,7 @@
     /** Requests the complete list: versions of different discovery services are not comparable. */
     private static final long NO_VERSION = -1;
 
+    private static final String FORWARDED_IDS_FOLDER = "kelphollow-forwarded";
     private static final Logger LOG = Logger.getLogger(PlatformScheduler.class.getName());
 
     private final Random discoveryRandom;
@@ -76,12 +79,18 @@
         router.onEndpointsReceived(entries -> listReceived());
         router.start(watch, pushed);
         front = new RespFront(router, ticker(), settings, clientSockets(config.sockets()),
-            ClientMemory.ofHeap());
+            ClientMemory.ofHeap(), forwardedIds(config));
         front.startLog();
         requestSettings = requestSettings(settings);
         setComponents(router, front);
     }
 
+    /** Processes that inherit their clients' socket replace each other in an upgrade and share a folder. */
+    private static ForwardedIds forwardedIds(PlatformConfig config) {
+        return config.operations().inheritsSocket()
+            ? new SharedForwardedIds(MaintenanceFile.path().resolveSibling(FORWARDED_IDS_FOLDER)) : new RecentForwardedIds();
+    }
+
     /** The lease of the platform's endpoint list, with the delays of {@link EndpointUpdateBudget}. */
     private static EndpointListLease lease(ControlSettings settings) {
         return settings.endpointsPolled()
--- a/src/main/java/kelphollow/protocol/resp/ReplySlot.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplySlot.java
@@ -53,7 +53,9 @@
     void submit(RequestArrived arrival, RespCommand command) {
         countedAsOpen = true;
         connection.requestOpened();
-        Request submitted = router.submit(arrival, new RespRequest(command, this), this);
+        RequestRegistration registration =
+            new RequestRegistration(intake.forwardedIdsFor(arrival.requestClass()), command.idText());
+        Request submitted = router.submit(arrival, new RespRequest(command, this, registration), this);
         request = reply == null ? submitted : null;
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RequestIntake.java
+++ b/src/main/java/kelphollow/protocol/resp/RequestIntake.java
@@ -18,8 +18,10 @@
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> plans = new HashSet<>();
     private final Set<String> openIds = new HashSet<>();
+    private final ForwardedIds forwardedIds;
 
-    RequestIntake(ControlSettings settings) {
+    RequestIntake(ControlSettings settings, ForwardedIds forwardedIds) {
+        this.forwardedIds = forwardedIds;
         addClasses(settings.classes());
         settings.plans().forEach(plan -> plans.add(plan.name()));
     }
@@ -32,7 +34,8 @@
     /**
      * Returns the request of a command that arrived at {@code now}. Its id is open until it is {@link #release released}.
      *
-     * @throws MalformedCommandException if the class or plan is unknown, a required field is missing, or the id is open
+     * @throws MalformedCommandException if the class or plan is unknown, a required field is missing, or the id is open or
+     *     may not run again
      */
     RequestArrived open(RespCommand command, double now) throws MalformedCommandException {
         RequestArrived arrival = command.arrival(now);
@@ -43,12 +46,24 @@
         if (requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY) {
             command.required(RespWireNames.IDEMPOTENCY_KEY);   // required: nodes deduplicate by it
         }
+        if (!mayRepeat(requestClass) && forwardedIds.contains(command.idText())) {
+            throw new MalformedCommandException("a request with this id may have run");
+        }
         if (!openIds.add(command.idText())) {
             throw new MalformedCommandException("a request with this id is open");
         }
         return arrival;
     }
 
+    private static boolean mayRepeat(RequestClass requestClass) {
+        return requestClass.idempotency() == Idempotency.IDEMPOTENT;
+    }
+
+    /** The register for an id when it is forwarded; null if requests of this class may run any number of times. */
+    ForwardedIds forwardedIdsFor(String requestClass) {
+        return mayRepeat(classes.get(requestClass)) ? null : forwardedIds;
+    }
+
     /** Removes an id from the open ones; null has no effect. */
     void release(String id) {
         openIds.remove(id);
--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -34,6 +34,8 @@
     private final RateLimitedLog log;
     private PooledConnection connection;
     private ChannelFuture commandWritten;
+    /** Whether the command was registered as forwarded. */
+    private boolean isRegistered;
     private Ticker.Timeout stallTimer;
     private Ticker.Timeout announcementTimer;
     private double incompleteSince;
@@ -60,6 +62,12 @@
             attempt.ended(AttemptResult.of(AttemptOutcome.NOT_SENT));
             return;
         }
+        if (!request().registration().forwarded()) {
+            established.release();
+            attempt.ended(AttemptResult.of(AttemptOutcome.ERROR));     // by another process of this instance
+            return;
+        }
+        isRegistered = true;
         commandWritten = established.channel().writeAndFlush(request().command().forNode(attempt.remaining()));
     }
 
@@ -122,6 +130,13 @@
             value.complete();
         }
         on.release();
+        end(result);
+    }
+
+    private void end(AttemptResult result) {
+        if (isRegistered && result.outcome().provesNotExecuted()) {
+            request().registration().provedNotExecuted();
+        }
         attempt.ended(result);
     }
 
@@ -182,7 +197,7 @@
         if (cause instanceof CodecException) {
             attempt.ended(failure(AttemptOutcome.ERROR));
         } else {
-            attempt.ended(failure(notExecuted ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.RESET));
+            end(failure(notExecuted ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.RESET));
         }
     }
 
@@ -205,6 +220,9 @@
     /** Cancels the attempt: its time is over, or its client has left. */
     void cancel() {
         logGivenUp("cancelled");
+        if (isRegistered && !commandWritten.isSuccess()) {
+            request().registration().provedNotExecuted();
+        }
         close();
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -48,16 +48,17 @@
      *
      * @param maxConnections how many connections may be open, not counting those in a lingering close
      * @param memory what the commands of all connections may occupy
+     * @param forwardedIds register of requests that must not run twice
      */
     public RespFront(RequestRouter router, Ticker ticker, ControlSettings settings, int maxConnections,
-        ClientMemory memory) {
+        ClientMemory memory, ForwardedIds forwardedIds) {
         this.router = router;
         this.ticker = ticker;
         this.maxConnections = maxConnections;
         this.lingering = new LingeringClose(ticker, LINGER_OVERALL_TIMEOUT_MS, LINGER_CLIENT_TIMEOUT_MS,
             maxConnections / CONNECTIONS_PER_LINGERING);
         this.memory = CommandMemory.Bounds.of(memory);
-        this.intake = new RequestIntake(settings);
+        this.intake = new RequestIntake(settings, forwardedIds);
         this.log = new ConnectionLog(ticker, this::gauges);
         scheduleSweep();
     }
--- a/src/main/java/kelphollow/protocol/resp/RespRequest.java
+++ b/src/main/java/kelphollow/protocol/resp/RespRequest.java
@@ -5,5 +5,6 @@
  *
  * @param command the command to forward to a node
  * @param receiver receives a value that is too long to be buffered
+ * @param registration registers the command's id when it is forwarded
  */
-record RespRequest(RespCommand command, StreamedValue.Receiver receiver) {}
+record RespRequest(RespCommand command, StreamedValue.Receiver receiver, RequestRegistration registration) {}
--- a/src/main/java/kelphollow/protocol/resp/RespWarmup.java
+++ b/src/main/java/kelphollow/protocol/resp/RespWarmup.java
@@ -43,7 +43,7 @@
         router.restoreEndpoints(endpoints());
         router.start(() -> {}, false);
         EmbeddedChannel client = new EmbeddedChannel();
-        new RespFront(router, environment, settings, 1, ClientMemory.ofHeap()).accept(client);
+        new RespFront(router, environment, settings, 1, ClientMemory.ofHeap(), new RecentForwardedIds()).accept(client);
         int served = 0;
         for (int i = 0; i < REQUESTS && System.nanoTime() < end; i++) {
             client.writeInbound(command(i, settings));
--- a/src/test/java/kelphollow/program/PartialWriteTest.java
+++ b/src/test/java/kelphollow/program/PartialWriteTest.java
@@ -31,6 +31,7 @@
 import kelphollow.protocol.object.ObjectBackend;
 import kelphollow.protocol.object.ObjectFront;
 import kelphollow.protocol.resp.RespBackend;
+import kelphollow.protocol.resp.RecentForwardedIds;
 import kelphollow.protocol.resp.RespFront;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.ResolvedEndpoint;
@@ -124,7 +125,7 @@
     private InetSocketAddress platform(int shards) throws Exception {
         ControlSettings settings = SettingsConfig.read(ServerHarness.section(ServerHarness.example(), "settings"));
         return listen(() -> new RespFront(router(settings, shards, new RespBackend(pools(RespBackend::codec), ticker)),
-            ticker, settings, 100, ClientMemory.ofHeap()));
+            ticker, settings, 100, ClientMemory.ofHeap(), new RecentForwardedIds()));
     }
 
     private InetSocketAddress objects(int shards) throws Exception {
