Bound the number of fields in a request's head, on both fronts

Cause: only the length of a head was bounded; each field occupies some 100 bytes beside its text, also in a head that is not complete. Change: a head holds at most 100 fields (LimitedFields), else 400; a command of the platform's at most 64 (it names ten).

--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -1,6 +1,7 @@
 package kelphollow.protocol.object;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.util.Comparator;
@@ -32,6 +33,10 @@
     private static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 16 * 1024;
 
+    private static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEAD_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES).setHeadersFactory(new LimitedFields())
+        .setTrailersFactory(new LimitedFields());
+
     private final ObjectServices services;
     private final Set<ObjectConnection> connections = new LinkedHashSet<>();
     private final LingeringClose lingering;
@@ -87,7 +92,7 @@
 
     @Override public void accept(Channel channel) {
         channel.config().setAutoRead(false);
-        HttpServerCodec codec = new HttpServerCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        HttpServerCodec codec = new HttpServerCodec(DECODER);
         ObjectConnection connection = new ObjectConnection(this, services, channel);
         connections.add(connection);
         log.accepted();
--- a/src/main/java/kelphollow/protocol/resp/RespCommand.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCommand.java
@@ -22,6 +22,8 @@
 record RespCommand(String name, byte[] objectKey, byte[] id, Map<String, String> fields, byte[] body) {
     private static final int ARGUMENTS = 4;
     private static final int ARGUMENTS_WITH_BODY = 5;
+    /** A field occupies many times its length. The protocol names ten. */
+    private static final int MAX_FIELDS = 64;
     private static final double MAX_TIME_LEFT_MS = 3_600_000;
     private static final double MAX_UNITS = 1_000_000;
     private static final double MAX_INSTANCES = 1_000_000;
@@ -66,6 +68,9 @@
 
     private static Map<String, String> fields(String text) throws MalformedCommandException {
         Map<String, String> fields = new LinkedHashMap<>();
+        if (text.chars().filter(character -> character == ',').count() >= MAX_FIELDS) {
+            throw new MalformedCommandException("more than " + MAX_FIELDS + " fields");
+        }
         for (String field : text.split(",")) {
             int equals = field.indexOf('=');
             if (equals < 1 || fields.put(field.substring(0, equals), field.substring(equals + 1)) != null) {
