Hold at most 48 KiB of a long value that waits for its client

Cause: 64 KiB for each client's channel and for each value that waits for earlier replies, and reads of up to 64 KiB. Change: 16 KiB may wait in a client's channel, 32 KiB in a waiting value, and one read yields 16 KiB at most.

--- a/src/main/java/kelphollow/protocol/resp/StreamedValue.java
+++ b/src/main/java/kelphollow/protocol/resp/StreamedValue.java
@@ -12,8 +12,9 @@
 
 /**
  * Streams a value from a node's connection to a client's connection without buffering it as a whole. Reading from the node
- * pauses while the client's channel is not writable, and, once {@link RespCodec#MAX_BUFFERED_BYTES} are buffered, while
- * earlier replies to the client are pending. Buffers at most that many bytes plus one read (64 KiB), beside the client
+ * pauses while the client's channel is not writable, and, once {@link #MAX_WAITING_BYTES} are buffered, while
+ * earlier replies to the client are pending. Buffers at most that many bytes plus one read (16 KiB), or {@link
+ * RespCodec#MAX_BUFFERED_BYTES} until the client is notified, beside the client
  * channel's write buffer. Owns the buffers that it is given until they are written or released. Confined to the event loop.
  */
 final class StreamedValue {
@@ -36,6 +37,9 @@
         STREAMING
     }
 
+    /** With one read more, the values on all connections to nodes fit into the direct memory while they wait. */
+    private static final int MAX_WAITING_BYTES = 32 * 1024;
+
     private final long length;
     private final Channel node;
     private final Ticker ticker;
@@ -77,6 +81,7 @@
         if (stage == Stage.BUFFERING) {
             stage = Stage.ANNOUNCED;
             receiver = announcedTo;
+            applyBackpressure();
             receiver.valueStarted(this);
         }
     }
@@ -126,7 +131,11 @@
         if (discarded) {
             return false;
         }
-        return stage == Stage.STREAMING ? !client.isWritable() : bufferedBytes >= RespCodec.MAX_BUFFERED_BYTES;
+        return switch (stage) {
+            case BUFFERING -> bufferedBytes >= RespCodec.MAX_BUFFERED_BYTES;
+            case ANNOUNCED -> bufferedBytes >= MAX_WAITING_BYTES;
+            case STREAMING -> !client.isWritable();
+        };
     }
 
     /** Returns the milliseconds since either side last made progress. */
--- a/src/main/java/kelphollow/transport/ConnectionPools.java
+++ b/src/main/java/kelphollow/transport/ConnectionPools.java
@@ -1,9 +1,11 @@
 package kelphollow.transport;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -37,6 +39,10 @@
      */
     private static final double REUSE_DELAY_MS = 20;
 
+    /** A value that waits for its client holds what one read yields beside what it buffers. */
+    private static final RecvByteBufAllocator SMALL_READS = new AdaptiveRecvByteBufAllocator(
+        Server.MIN_RECEIVE_BUFFER_BYTES, Server.INITIAL_RECEIVE_BUFFER_BYTES, Server.MAX_RECEIVE_BUFFER_BYTES);
+
     /** The idle connections to one node, least recently used first, and the total number of connections to it. */
     static final class HostPool {
         private final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
@@ -114,6 +120,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.ALLOCATOR, Server.ALLOCATOR)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, SMALL_READS)
             .handler(connection)
             .connect(address).addListener(connect -> {
                 if (!connect.isSuccess()) {
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -17,15 +18,17 @@
 public final class Server {
     /** One arena for the one event loop, in chunks of 256 KiB: Netty's default sizes do not suit a small machine. */
     static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, 0, 1, 8192, 5, 0, 0, false);
-    private static final int MIN_RECEIVE_BUFFER_BYTES = 64;
-    private static final int INITIAL_RECEIVE_BUFFER_BYTES = 2 * 1024;
+    static final int MIN_RECEIVE_BUFFER_BYTES = 64;
+    static final int INITIAL_RECEIVE_BUFFER_BYTES = 2 * 1024;
     /** A codec keeps a receive buffer while it holds part of a line, on every connection if clients stop there. */
-    private static final int MAX_RECEIVE_BUFFER_BYTES = 16 * 1024;
+    static final int MAX_RECEIVE_BUFFER_BYTES = 16 * 1024;
     private static final int MAX_READS_AT_ONCE = 16;
     /** Reads until no input is left, so that a client's disconnect right after its request is detected with the request. */
     private static final RecvByteBufAllocator READ_ALL = new AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BUFFER_BYTES,
         INITIAL_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES).respectMaybeMoreData(false)
         .maxMessagesPerRead(MAX_READS_AT_ONCE);
+    /** What may wait for a client that reads slowly; a value that streams to it waits at its node beyond that. */
+    private static final WriteBufferWaterMark PENDING_BYTES = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
     /** Connections that the kernel queues before they are accepted. */
     private static final int BACKLOG = 512;
 
@@ -61,6 +64,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, READ_ALL)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PENDING_BYTES)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
                     admit(channel, front);
