--- a/src/main/java/kelphollow/lab/soak/Soak.java
+++ b/src/main/java/kelphollow/lab/soak/Soak.java
@@ -31,14 +31,27 @@
         /** Processes are replaced by others that run beside them for a time; volumes with limits are used as well. */
         UPGRADES(true, 3),
         /** Upgrades with many clients. */
-        UPGRADES_WITH_CROWD(true, 24);
+        UPGRADES_WITH_CROWD(true, 24),
+        /** Upgrades while some clients request long values and others send at full speed. */
+        UPGRADES_WITH_FLOODS(true, 6, 0.15);
 
         private final boolean upgrades;
         private final int clients;
+        private final double longValueShare;
 
         Variant(boolean upgrades, int clients) {
+            this(upgrades, clients, 0);
+        }
+
+        Variant(boolean upgrades, int clients, double longValueShare) {
             this.upgrades = upgrades;
             this.clients = clients;
+            this.longValueShare = longValueShare;
+        }
+
+        /** The share of long values among the reads; where there are some, other clients flood the instances. */
+        double longValueShare() {
+            return longValueShare;
         }
 
         boolean upgrades() {
@@ -106,7 +119,11 @@
     private List<SoakChecker.Breach> execute() throws Exception {
         watchLateness();
         startAll();
-        SoakClients clients = new SoakClients(history, plan.nodes(), variant.upgrades() ? plan.instances() : 0);
+        SoakClients clients = new SoakClients(history, plan.nodes(), variant.upgrades() ? plan.instances() : 0,
+            variant.longValueShare());
+        if (variant.longValueShare() > 0) {
+            SoakThreads.start("floods", () -> new SoakFloods(instances, new Random(plan.seed() + 2)).run(ended::get));
+        }
         for (int i = 0; i < plan.instances(); i++) {
             clients.start(i, instances.get(i).address(), variant.clients, plan.seed() * 1_000 + i);
         }
--- a/src/main/java/kelphollow/lab/soak/SoakChecker.java
+++ b/src/main/java/kelphollow/lab/soak/SoakChecker.java
@@ -13,6 +13,7 @@
 import kelphollow.lab.soak.SoakHistory.Outcome;
 import kelphollow.lab.soak.SoakHistory.RequestEnded;
 import kelphollow.lab.soak.SoakHistory.RequestSent;
+import kelphollow.lab.soak.SoakHistory.ValueCut;
 
 /**
  * Checks the history of a soak against the platform's rules: drains, lost requests, duplicate effects, rejections of
@@ -37,6 +38,8 @@
     /** The slack of a limit grows by what it allows in this time. */
     private static final double LIMIT_SLACK_MS = 150;
     private static final double MILLIS_PER_SECOND = 1_000;
+    /** Time from a request to the last byte of its value, with the time that may pass in the middle of it. */
+    private static final double LONGEST_VALUE_MS = 20_000;
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
     private final SoakHistory history;
@@ -65,6 +68,7 @@
         SoakChecker checker = new SoakChecker(history, slack);
         checker.checkDrains();
         checker.checkAnswers();
+        checker.checkValues();
         checker.checkDuplicates();
         checker.checkAttemptsAfterEnd();
         checker.checkDeadlines();
@@ -112,6 +116,25 @@
         }
     }
 
+    /** A value that has begun may only end early if its node ends it, or its process, which has then been told to end. */
+    private void checkValues() {
+        Set<String> endedByNode = new HashSet<>();
+        history.all(ValueCut.class).stream().filter(ValueCut::byNode).forEach(cut -> endedByNode.add(cut.id()));
+        for (RequestEnded end : ends.values()) {
+            RequestSent request = requests.get(end.id());
+            boolean excused = end.outcome() != Outcome.TRUNCATED || endedByNode.contains(end.id())
+                || hasProcessEndedAfter(request.instance(), request.at());
+            if (!excused) {
+                addBreach("lost", end.at(), end.id() + " got the beginning of its value and not the rest");
+            }
+        }
+    }
+
+    private boolean hasProcessEndedAfter(int instance, double at) {
+        return incarnations.stream().anyMatch(process -> process.instance() == instance && process.from() <= at
+            && process.ended() >= at && process.ended() < at + LONGEST_VALUE_MS);
+    }
+
     /** Whether its process was killed before the answer was due, without SIGTERM or later than it had to answer by then. */
     private boolean wasKilledMeanwhile(RequestSent request, double limit) {
         for (Incarnation process : incarnations) {
--- a/src/main/java/kelphollow/lab/soak/SoakClients.java
+++ b/src/main/java/kelphollow/lab/soak/SoakClients.java
@@ -31,6 +31,8 @@
     /** Time that a client waits beyond its timeout before it counts an answer as missing. */
     private static final int EXTRA_WAIT_MS = 2_000;
 
+    /** A node or the program may stand still in the middle of a value for 10 s. */
+    private static final int VALUE_STALL_MS = 12_000;
     private static final double LIMITED_SHARE = 0.5;
     private static final int LIMITED_UNITS = 3;
 
@@ -38,11 +40,18 @@
     private final int cells;
     /** Instances that volumes with a limit share, or 0 without such volumes. */
     private final int limitedBy;
+    private final double longValueShare;
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean closing;
 
     /** {@code limitedBy}: instances that share volumes with a limit, to which half of the requests go then; 0 for none. */
     SoakClients(SoakHistory history, int cells, int limitedBy) {
+        this(history, cells, limitedBy, 0);
+    }
+
+    /** {@code longValueShare}: the share of long values among the reads. */
+    SoakClients(SoakHistory history, int cells, int limitedBy, double longValueShare) {
+        this.longValueShare = longValueShare;
         this.history = history;
         this.cells = cells;
         this.limitedBy = limitedBy;
@@ -118,6 +127,10 @@
             String id = name + "q" + sent++;
             VolumeUse use = drawVolume();
             int cell = random.nextInt(cells);
+            if (!requestClass.mustRunOnce() && longValueShare > 0 && random.nextDouble() < longValueShare) {
+                requestValue(id, requestClass, cell);
+                return;
+            }
             String command = use == null ? RespClient.get(id, requestClass.name(), requestClass.patience(), cell)
                 : RespClient.get(id, requestClass.name(), requestClass.patience(), cell, use);
             for (int attempt = 0; attempt < 2; attempt++) {
@@ -134,6 +147,32 @@
             }
         }
 
+        /** Requests a long value, whose first byte must be in time. */
+        private void requestValue(String id, RequestClass requestClass, int cell) throws Exception {
+            LongValue value = LongValue.draw(random);
+            Outcome outcome = Outcome.CONNECTION_ENDED;
+            double endedAt = history.now();
+            try {
+                connection.setReadTimeout(requestClass.patience() + EXTRA_WAIT_MS);
+                connection.send(RespClient.getValue(id, requestClass.name(), requestClass.patience(), cell, value));
+                history.add(new RequestSent(history.now(), id, instance, false, requestClass.patience()));
+                String head = connection.line();
+                endedAt = history.now();
+                outcome = head.startsWith("$") ? Outcome.TRUNCATED
+                    : head.startsWith("-BUSY") ? Outcome.REJECTED : Outcome.FAILED;
+                if (outcome == Outcome.TRUNCATED) {
+                    connection.setReadTimeout(VALUE_STALL_MS);
+                    outcome = value.equalsBytes(connection.value(value.length())) ? Outcome.SERVED : outcome;
+                }
+            } catch (SocketTimeoutException e) {
+                outcome = outcome == Outcome.TRUNCATED ? outcome : Outcome.NO_ANSWER;
+                disconnect();
+            } catch (IOException e) {
+                disconnect();
+            }
+            history.add(new RequestEnded(endedAt, id, outcome));
+        }
+
         /** Draws a volume with a limit, of this instance alone or of all, or null for one without. */
         private VolumeUse drawVolume() {
             if (limitedBy == 0 || random.nextDouble() >= LIMITED_SHARE) {
--- a/src/main/java/kelphollow/lab/soak/SoakHistory.java
+++ b/src/main/java/kelphollow/lab/soak/SoakHistory.java
@@ -30,8 +30,8 @@
     /** The first byte of a command reached a node; {@code timeLeft} is the deadline sent, {@code mayRun} if not rejected. */
     record AttemptArrived(double at, String node, String id, double timeLeft, boolean mayRun) implements Event {}
 
-    /** A node wrote a long value from {@code from} on, and saw its connection end before it was complete. */
-    record ValueCut(double from, double at, String node, String id) implements Event {}
+    /** A node's connection ended before a long value was complete; {@code byNode}: the node itself ended it. */
+    record ValueCut(double at, String node, String id, boolean byNode) implements Event {}
 
     /**
      * A client has written a complete request; {@code patience} is its timeout in milliseconds, {@code limitedVolume} its
@@ -53,7 +53,7 @@
 
     /** How a request ended for its client. */
     enum Outcome {
-        SERVED, REJECTED, FAILED, CLIENT_LEFT, CONNECTION_ENDED, NO_ANSWER
+        SERVED, REJECTED, FAILED, TRUNCATED, CLIENT_LEFT, CONNECTION_ENDED, NO_ANSWER
     }
 
     /** The client got its answer, closed the connection, or saw it end. */
--- a/src/main/java/kelphollow/lab/soak/SoakNode.java
+++ b/src/main/java/kelphollow/lab/soak/SoakNode.java
@@ -144,11 +144,10 @@
             write(socket, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
             return;
         }
-        double at = history.now();
         try {
             value.get().write(socket.getOutputStream());
         } catch (IOException e) {
-            history.add(new SoakHistory.ValueCut(at, history.now(), name, words[ID]));
+            history.add(new SoakHistory.ValueCut(history.now(), name, words[ID], socket.isClosed()));
             throw e;
         }
     }
--- a/src/test/java/kelphollow/lab/soak/SoakCheckerTest.java
+++ b/src/test/java/kelphollow/lab/soak/SoakCheckerTest.java
@@ -85,6 +85,16 @@
         assertEquals(List.of("drain"), brokenRules());
     }
 
+    @Test void valueThatHasBegunMayOnlyBeEndedByItsNode() {
+        history.add(new RequestSent(1_000, "v", 0, false, 1_200));
+        history.add(new RequestEnded(1_100, "v", Outcome.TRUNCATED));
+        assertEquals(List.of("lost"), brokenRules());
+
+        history.add(new SoakHistory.ValueCut(1_500, "a", "v", true));
+
+        assertEquals(List.of(), brokenRules());
+    }
+
     @Test void requestMustBeAnsweredInTimeUnlessItsProcessWasKilled() {
         addServedRead("fine", 5_000);
         history.add(new RequestSent(50_000, "none", 0, false, 1_200));
