--- a/src/main/java/kelphollow/lab/soak/SoakClients.java
+++ b/src/main/java/kelphollow/lab/soak/SoakClients.java
@@ -158,7 +158,7 @@
                 history.add(new RequestSent(history.now(), id, instance, false, requestClass.patience()));
                 String head = connection.line();
                 endedAt = history.now();
-                outcome = head.startsWith("$") ? Outcome.TRUNCATED
+                outcome = head.equals("$" + value.length()) ? Outcome.TRUNCATED
                     : head.startsWith("-BUSY") ? Outcome.REJECTED : Outcome.FAILED;
                 if (outcome == Outcome.TRUNCATED) {
                     connection.setReadTimeout(VALUE_STALL_MS);
--- a/src/main/java/kelphollow/lab/soak/SoakNode.java
+++ b/src/main/java/kelphollow/lab/soak/SoakNode.java
@@ -129,20 +129,27 @@
             case FAILS -> write(socket, "-ERR failed\r\n");
             case REJECTS -> write(socket, "-BUSY\r\n");
             case SERVES_IN_SEGMENTS -> {
+                if (serveLongValue(socket, words)) {
+                    return true;
+                }
                 write(socket, "*3\r\n$2\r\no");
                 Thread.sleep(SERVICE_SPREAD_MS);
                 write(socket, "k\r\n$-1\r\n$-1\r\n");
             }
-            case SERVES -> serveValue(socket, words);
+            case SERVES -> {
+                if (!serveLongValue(socket, words)) {
+                    write(socket, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+                }
+            }
         }
         return true;
     }
 
-    private void serveValue(Socket socket, String[] words) throws IOException, InterruptedException {
+    /** Serves a long value at its pace; returns false if another object is requested. */
+    private boolean serveLongValue(Socket socket, String[] words) throws IOException, InterruptedException {
         Optional<LongValue> value = LongValue.parse(words[OBJECT]);
         if (value.isEmpty()) {
-            write(socket, "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
-            return;
+            return false;
         }
         try {
             value.get().write(socket.getOutputStream());
@@ -150,6 +157,7 @@
             history.add(new SoakHistory.ValueCut(history.now(), name, words[ID], socket.isClosed()));
             throw e;
         }
+        return true;
     }
 
     private static void write(Socket socket, String text) throws IOException {
