A timeout that a late loop had queued does not end a response that has begun

Cause: announcing a value cancels the attempt's timeout, but a timer that the wheel has already passed to a late loop runs all the same, and ended the attempt as timed out, with leave to send the request again. Change: the timeout has no effect once the response is being forwarded. Measured: AttemptLifecycleTest's new test failed before and passes; the harness bears timers of 2 s for it (1.5 s before).

--- a/src/main/java/kelphollow/routing/AttemptLifecycle.java
+++ b/src/main/java/kelphollow/routing/AttemptLifecycle.java
@@ -66,7 +66,7 @@
         eligibility.checkDecision(attempt, decisions.decidedAt());
         request.add(attempt);
         inFlight.put(key(attempt), attempt);
-        attempt.setTimeout(ticker.after(timeoutAt - now, () -> cancel(attempt, AttemptOutcome.TIMED_OUT)));
+        attempt.setTimeout(ticker.after(timeoutAt - now, () -> timedOut(attempt)));
         start(attempt);
     }
 
@@ -88,6 +88,13 @@
         }
     }
 
+    /** A late event loop may run the timer in the same batch as one that has begun to forward the response. */
+    private void timedOut(Attempt attempt) {
+        if (!attempt.isResponding()) {
+            cancel(attempt, AttemptOutcome.TIMED_OUT);
+        }
+    }
+
     private void cancel(Attempt attempt, AttemptOutcome outcome) {
         if (attempt.isInFlight()) {
             backend.cancel(attempt);
--- a/src/test/java/kelphollow/routing/AttemptLifecycleTest.java
+++ b/src/test/java/kelphollow/routing/AttemptLifecycleTest.java
@@ -61,6 +61,19 @@
         assertFalse(attempt.isResponding());
     }
 
+    /** Otherwise the request is sent again while part of its response is with the client. */
+    @Test void aTimeoutThatALateLoopHadQueuedDoesNotEndAResponseThatHasBegun() {
+        harness.cancelledTimersFire = true;
+        Attempt attempt = attempt();
+
+        attempt.responseStarted();
+        harness.advance(30, 100);
+
+        assertTrue(attempt.isResponding());
+        assertEquals(List.of(), harness.cancelled);
+        assertEquals(1, harness.sent.size(), "nothing is sent again");
+    }
+
     @Test void theLatencyOfAStreamedResponseEndsWithItsBeginning() {
         Attempt attempt = attempt();
         harness.advance(1, 20);
--- a/src/test/java/kelphollow/routing/RouterHarness.java
+++ b/src/test/java/kelphollow/routing/RouterHarness.java
@@ -26,7 +26,7 @@
     static final Plan FREE = new Plan("free", 10, 5, 1, 1, 0, 0, 0);
     private static final Rules RULES = new Rules(250, 0.25, 10_000, 2, 1000, 6, 0, 0, 0, 0, 0);
     /** Longer timers, such as the attempts' timeouts, never run. */
-    private static final double LONGEST_TIMER_MS = 1_500;
+    private static final double LONGEST_TIMER_MS = 2_000;
 
     private record Timer(double at, Runnable task) {}
 
@@ -36,6 +36,8 @@
     final List<String> closedIdle = new ArrayList<>();
     /** Attempts that the router cancelled. */
     final List<Attempt> cancelled = new ArrayList<>();
+    /** Whether timers fire although they were cancelled, as those do that a late event loop had queued before. */
+    boolean cancelledTimersFire;
     /** What the backend throws when an attempt starts; null: nothing. */
     RuntimeException fault;
     /** Keys of the requests that were served. */
@@ -53,7 +55,11 @@
             if (millis <= LONGEST_TIMER_MS) {
                 timers.add(timer);
             }
-            return () -> timers.remove(timer);
+            return () -> {
+                if (!cancelledTimersFire) {
+                    timers.remove(timer);
+                }
+            };
         }
     };
     private final Backend backend = new Backend() {
