Object API: more pipelined requests than one read contains do not break the connection

Cause: the codec fails a connection above 128 requests without a response; one read of 16 KiB contains up to 900. Change: a depth of 1,024, above what one read and the read-ahead can contain. No test of its own.

--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -33,6 +33,8 @@
     private static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 16 * 1024;
 
+    /** More requests than one read and what may be read ahead contain; the codec fails the connection above it. */
+    private static final int MAX_PIPELINED = 1_024;
     private static final HttpDecoderConfig DECODER = new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
         .setMaxHeaderSize(MAX_HEAD_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES).setHeadersFactory(new LimitedFields())
         .setTrailersFactory(new LimitedFields());
@@ -92,7 +94,7 @@
 
     @Override public void accept(Channel channel) {
         channel.config().setAutoRead(false);
-        HttpServerCodec codec = new HttpServerCodec(DECODER);
+        HttpServerCodec codec = new HttpServerCodec(DECODER, MAX_PIPELINED);
         ObjectConnection connection = new ObjectConnection(this, services, channel);
         connections.add(connection);
         log.accepted();
