--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -108,10 +108,6 @@
         return activity;
     }
 
-    int openRequests() {
-        return openRequests;
-    }
-
     void requestOpened() {
         openRequests++;
     }
