--- a/src/test/java/kelphollow/lab/soak/DepartedClientTest.java
+++ b/src/test/java/kelphollow/lab/soak/DepartedClientTest.java
@@ -19,7 +19,7 @@
     /** An attempt that begins later than this after the close is a break; the machine's slack is that of the soak. */
     private static final double LATE_AFTER_MS = 100 + 120;
     private static final int STOPPED_MS = 400;
-    private static final int WATCHED_MS = 1_500;
+    private static final int WATCHED_MS = 3_000;
     @TempDir
     Path folder;
 
--- a/src/test/java/kelphollow/lab/soak/FloodTest.java
+++ b/src/test/java/kelphollow/lab/soak/FloodTest.java
@@ -16,7 +16,7 @@
 class FloodTest {
     private static final int NODES = 4;
     private static final int FLOODING_CLIENTS = 8;
-    private static final int FLOOD_MS = 2_500;
+    private static final int FLOOD_MS = 4_000;
     private static final int MIN_ANSWERED = 100;
     @TempDir
     Path folder;
