Review case 8: after new settings an upgrade's old process ends with requests open

Cause: GracefulShutdown waits by the longest deadline read at the start; reloads change the schedule of answers, not this wait. Change: case 8; cases 8 and 10 become 10 and 9. The program is not changed.

--- a/review/src-2/review2/Case10.java
+++ b/review/src-2/review2/Case10.java
@@ -10,27 +10,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.zip.CRC32;
 
 /**
- * One object server of six hangs in the middle of its work for some seconds: it has sent the heads of its answers, and goes
- * on afterwards. Clients read small objects, one after the other.
+ * Some clients stop in the middle of a CompleteMultipartUpload and stay. A usual client creates uploads and completes them,
+ * one after the other.
  */
 final class Case10 extends Case {
-    private static final int SHARDS = 6;
-    private static final int HANG_MS = 8_000;
-    private static final int OBJECT_BYTES = 1_000;
-    /** The deadline of the class dump-read. */
-    private static final int DEADLINE_MS = 1_200;
-    /** Half a second after its time a request is lost; every time limit is 50 ms longer. */
-    private static final int LATE_MS = 550;
-    private static final int RUN_MS = 12_000;
+    private static final int STOPPED_CLIENTS = 60;
+    /** A list of parts may have 1 MiB. */
+    private static final int ANNOUNCED_BYTES = 1_000_000;
+    /** An upload may have 10,000. */
+    private static final int PARTS = 9_000;
+    private static final int UPLOADS = 20;
+    /** The deadline of writes, 3 s, and 256 KiB of body a second; then half a second and 50 ms. */
+    private static final int PATIENCE_MS = 3_000 + 4_000 + 550;
 
-    private final AtomicInteger served = new AtomicInteger();
-    private final AtomicInteger refusedOrFailed = new AtomicInteger();
-    private final AtomicInteger lost = new AtomicInteger();
-    private volatile double hangsUntil;
     private InetSocketAddress listen;
 
     Case10() throws IOException {}
@@ -39,105 +33,93 @@
         main(new Case10(), arguments);
     }
 
-    private byte[] answer(int shard, String uri, Socket connection) throws Exception {
-        byte[] content = content(uri);
-        Thread.sleep(5);
-        byte[] head = ("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: " + content.length + "\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII);
-        double hang = shard == 0 ? hangsUntil - Record.now() : 0;
-        if (hang > 0) {
-            connection.getOutputStream().write(head);
-            Record.line("server 0 has sent the head of %s and hangs", uri);
-            Thread.sleep((long) hang);
-            connection.getOutputStream().write(content);
-            return null;
-        }
-        byte[] all = new byte[head.length + content.length];
-        System.arraycopy(head, 0, all, 0, head.length);
-        System.arraycopy(content, 0, all, head.length, content.length);
-        return all;
-    }
-
-    private static byte[] content(String uri) {
-        return uri.repeat(1 + OBJECT_BYTES / uri.length()).substring(0, OBJECT_BYTES).getBytes(StandardCharsets.US_ASCII);
-    }
-
-    /** The shard of an object, as the gateway spreads them. */
-    private static int shard(String uri) {
-        CRC32 sum = new CRC32();
-        sum.update(uri.substring(1).getBytes(StandardCharsets.UTF_8));
-        return (int) (sum.getValue() % SHARDS);
-    }
-
     @Override boolean run() throws Exception {
-        String[] endpoints = new String[SHARDS];
-        for (int shard = 0; shard < SHARDS; shard++) {
-            int own = shard;
-            ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(own, uri, connection));
-            endpoints[shard] = Gateway.endpoint(node.port(), shard, "HEALTHY");
-        }
+        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> {
+            Thread.sleep(5);
+            boolean create = uri.endsWith("?uploads");
+            Record.line("the server runs %s %s with %d bytes", method, uri, body.length);
+            return Http.response(200, "Content-Type: application/xml\r\n", (create
+                ? "<InitiateMultipartUploadResult><UploadId>upload" + Math.abs(uri.hashCode())
+                    + "</UploadId></InitiateMultipartUploadResult>"
+                : "<CompleteMultipartUploadResult><ETag>\"1\"</ETag></CompleteMultipartUploadResult>")
+                    .getBytes(StandardCharsets.UTF_8));
+        });
         int port = Scheduler.freePort();
         listen = new InetSocketAddress("127.0.0.1", port);
         Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, SHARDS, Gateway.inline(endpoints), "");
+        Gateway.write(config, "127.0.0.1:" + port, 1, Gateway.inline(Gateway.endpoint(node.port(), 0, "HEALTHY")), "");
         Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
         if (!gateway.awaitHttp(listen)) {
             throw new NotRunException("the gateway is not ready");
         }
         Thread.sleep(500);
-        double start = Record.now();
-        if (trouble) {
-            hangsUntil = start + 2_000 + HANG_MS;
+        int answered = 0;
+        int refused = 0;
+        int lost = 0;
+        List<Socket> stopped = new ArrayList<>();
+        for (int i = 0; i < UPLOADS && lost < 5; i++) {
+            if (trouble && i == 3) {
+                stop(stopped);
+                Thread.sleep(300);
+            }
+            double at = Record.now();
+            try {
+                int status = upload("/symbols/file-" + i);
+                Record.line("upload %d: %d after %.0f ms", i, status, Record.now() - at);
+                if (status == 200) {
+                    answered++;
+                } else {
+                    refused++;
+                }
+            } catch (IOException e) {
+                Record.say("upload %d: LOST after %.0f ms: %s", i, Record.now() - at, e);
+                lost++;
+            }
+            Thread.sleep(100);
         }
-        List<Thread> clients = new ArrayList<>();
-        for (int shard = 0; shard < SHARDS; shard++) {
-            int wanted = shard;
-            double first = trouble && shard == 0 ? start + 2_000 : start;
-            Thread client = new Thread(() -> read(wanted, first, start + RUN_MS));
-            client.start();
-            clients.add(client);
+        Record.say("answered %d, refused %d, lost %d; the gateway %s", answered, refused, lost,
+            gateway.isAlive() ? "runs" : "HAS ENDED");
+        for (Socket socket : stopped) {
+            socket.close();
         }
-        for (Thread client : clients) {
-            client.join();
+        return lost == 0 && gateway.isAlive();
+    }
+
+    private void stop(List<Socket> stopped) throws IOException {
+        for (int i = 0; i < STOPPED_CLIENTS; i++) {
+            Socket socket = new Socket();
+            socket.connect(listen);
+            socket.getOutputStream().write(("POST /symbols/other-" + i + "?uploadId=upload" + i
+                + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + ANNOUNCED_BYTES + "\r\n\r\n<CompleteMultipartUpload>")
+                    .getBytes(StandardCharsets.US_ASCII));
+            stopped.add(socket);
         }
-        Record.say("served %d, refused or failed %d, lost %d", served.get(), refusedOrFailed.get(), lost.get());
-        return lost.get() == 0;
+        Record.line("%d clients have sent the beginning of a list of parts and stay", STOPPED_CLIENTS);
     }
 
-    /** Reads objects of one shard, a request every 250 ms at most. */
-    private void read(int shard, double first, double until) {
-        try {
-            Thread.sleep((long) Math.max(0, first - Record.now()));
-            for (int i = 0; Record.now() < until; i++) {
-                String uri = "/crash-dumps/dump-" + i;
-                if (shard(uri) == shard) {
-                    read(uri);
-                    Thread.sleep(250);
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /** Creates an upload and completes it; returns the status of the first that is not 200, or 200. */
+    private int upload(String path) throws IOException {
+        Http.Response created = call(path + "?uploads", "");
+        if (created.status() != 200) {
+            return created.status();
+        }
+        String id = created.text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
+        StringBuilder list = new StringBuilder("<CompleteMultipartUpload>");
+        for (int part = 1; part <= PARTS; part++) {
+            list.append("<Part><PartNumber>").append(part).append("</PartNumber><ETag>\"")
+                .append("d41d8cd98f00b204e9800998ecf8427e\"</ETag></Part>");
         }
+        return call(path + "?uploadId=" + id, list.append("</CompleteMultipartUpload>").toString()).status();
     }
 
-    private void read(String uri) {
-        double at = Record.now();
-        String outcome;
+    private Http.Response call(String uri, String body) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(listen);
-            socket.setSoTimeout(DEADLINE_MS + LATE_MS);
-            socket.getOutputStream().write(("GET " + uri + " HTTP/1.1\r\nHost: dumps\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.getOutputStream().write(("POST " + uri + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Http.Response response = Http.readResponse(in);
-            outcome = response.status() + " after " + (long) (Record.now() - at) + " ms";
-            boolean late = Record.now() - at > DEADLINE_MS + LATE_MS;
-            (late ? lost : response.status() == 200 ? served : refusedOrFailed).incrementAndGet();
-        } catch (IOException e) {
-            lost.incrementAndGet();
-            outcome = "LOST, no byte of an answer " + (long) (Record.now() - at) + " ms after the request: " + e;
-            System.out.println(uri + ": " + outcome);
+            return Http.readResponse(in);
         }
-        Record.line("GET %s (shard %d): %s", uri, shard(uri), outcome);
     }
 }
--- a/review/src-2/review2/Case8.java
+++ b/review/src-2/review2/Case8.java
@@ -6,25 +6,29 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Some clients stop in the middle of a CompleteMultipartUpload and stay. A usual client creates uploads and completes them,
- * one after the other.
+ * A class with a longer deadline appears by SIGHUP; later the process is replaced while a storage node hangs. Descriptor 0 of
+ * this process is the clients' listening socket, as the platform holds it.
  */
 final class Case8 extends Case {
-    private static final int STOPPED_CLIENTS = 60;
-    /** A list of parts may have 1 MiB. */
-    private static final int ANNOUNCED_BYTES = 1_000_000;
-    /** An upload may have 10,000. */
-    private static final int PARTS = 9_000;
-    private static final int UPLOADS = 20;
-    /** The deadline of writes, 3 s, and 256 KiB of body a second; then half a second and 50 ms. */
-    private static final int PATIENCE_MS = 3_000 + 4_000 + 550;
+    private static final int SHARDS = 4;
+    private static final int REQUESTS = 3;
+    /** The longest deadline, counted as 3 s at most, and 0.7 s. */
+    private static final long KILL_AFTER_MS = 3_700;
+    private static final String SHORT_CLASSES = """
+        [{"aim": 250.0, "deadline": 1200.0, "dedup_scope": "all", "effect": "pure", "late_share": 0.2, "name": "report-read",
+          "streaming": false, "window": 5000.0, "worth": 2.0}]""";
 
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
     private InetSocketAddress listen;
 
     Case8() throws IOException {}
@@ -34,92 +38,116 @@
     }
 
     @Override boolean run() throws Exception {
-        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> {
-            Thread.sleep(5);
-            boolean create = uri.endsWith("?uploads");
-            Record.line("the server runs %s %s with %d bytes", method, uri, body.length);
-            return Http.response(200, "Content-Type: application/xml\r\n", (create
-                ? "<InitiateMultipartUploadResult><UploadId>upload" + Math.abs(uri.hashCode())
-                    + "</UploadId></InitiateMultipartUploadResult>"
-                : "<CompleteMultipartUploadResult><ETag>\"1\"</ETag></CompleteMultipartUploadResult>")
-                    .getBytes(StandardCharsets.UTF_8));
-        });
-        int port = Scheduler.freePort();
+        Discovery discovery = new Discovery();
+        for (int block = 0; block < SHARDS; block++) {
+            RespNode node = new RespNode("s-" + block, block, (self, command, connection) -> {
+                Record.line("%s takes %s%s", self.name, command[2], self.block == 0 ? " and does not answer" : "");
+                return self.block == 0 ? null : RespNode.served("value".getBytes(StandardCharsets.US_ASCII));
+            });
+            discovery.put(node.name, node.dial(), block, "ready", 0);
+        }
+        int port = Integer.parseInt(System.getenv("REVIEW_LISTEN_PORT"));
         listen = new InetSocketAddress("127.0.0.1", port);
-        Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, 1, Gateway.inline(Gateway.endpoint(node.port(), 0, "HEALTHY")), "");
-        Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
-        if (!gateway.awaitHttp(listen)) {
-            throw new NotRunException("the gateway is not ready");
+        String all = Platform.CLASSES.formatted("side_effect");
+        Path firstFile = folder.resolve("first.json");
+        Path secondFile = folder.resolve("second.json");
+        int firstMgmt = Scheduler.freePort();
+        int secondMgmt = Scheduler.freePort();
+        write(firstFile, port, discovery, firstMgmt, trouble ? SHORT_CLASSES : all);
+        write(secondFile, port, discovery, secondMgmt, all);
+        Path shared = Files.createDirectories(folder.resolve("shared"));
+        Scheduler first = start("first", firstFile, shared);
+        if (!first.awaitPong(listen)) {
+            throw new NotRunException("the first process is not ready");
+        }
+        Thread.sleep(1_500);
+        if (trouble) {
+            write(firstFile, port, discovery, firstMgmt, all);
+            Record.line("the file now names bulk-export too, with a deadline of 5 s");
+            first.signal("HUP");
+            Thread.sleep(2_500);
         }
-        Thread.sleep(500);
-        int answered = 0;
-        int refused = 0;
-        int lost = 0;
-        List<Socket> stopped = new ArrayList<>();
-        for (int i = 0; i < UPLOADS && lost < 5; i++) {
-            if (trouble && i == 3) {
-                stop(stopped);
-                Thread.sleep(300);
+        Scheduler second = null;
+        List<Thread> clients = new ArrayList<>();
+        Socket[] sockets = new Socket[REQUESTS];
+        for (int i = 0; i < REQUESTS; i++) {
+            sockets[i] = new Socket();
+            sockets[i].connect(listen);
+            ask(sockets[i], 100 + i, 1 + i % (SHARDS - 1), "bulk-export", 5_000);
+            if (!Resp.readAnswer(sockets[i].getInputStream()).startsWith("$")) {
+                throw new NotRunException("bulk-export is not served");
             }
-            double at = Record.now();
-            try {
-                int status = upload("/symbols/file-" + i);
-                Record.line("upload %d: %d after %.0f ms", i, status, Record.now() - at);
-                if (status == 200) {
-                    answered++;
-                } else {
-                    refused++;
-                }
-            } catch (IOException e) {
-                Record.say("upload %d: LOST after %.0f ms: %s", i, Record.now() - at, e);
-                lost++;
+        }
+        second = start("second", secondFile, shared);
+        long until = System.nanoTime() + 6_000_000_000L;
+        while (!status(secondMgmt).startsWith("ACK")) {
+            if (System.nanoTime() > until) {
+                throw new NotRunException("the second process has not said yes within 6 s");
             }
-            Thread.sleep(100);
+            Thread.sleep(50);
+        }
+        Record.line("the second process has said yes");
+        for (int i = 0; i < REQUESTS; i++) {
+            ask(sockets[i], i, 0, "bulk-export", 5_000);
+            int number = i;
+            Thread client = new Thread(() -> await(sockets[number], number));
+            client.start();
+            clients.add(client);
         }
-        Record.say("answered %d, refused %d, lost %d; the gateway %s", answered, refused, lost,
-            gateway.isAlive() ? "runs" : "HAS ENDED");
-        for (Socket socket : stopped) {
-            socket.close();
+        Thread.sleep(300);
+        double term = Record.now();
+        first.signal("TERM");
+        boolean ended = first.awaitEnd(KILL_AFTER_MS);
+        Record.say(ended ? "the first process has ended %.0f ms after SIGTERM" : "the first process runs %.0f ms after SIGTERM",
+            Record.now() - term);
+        first.kill();
+        for (Thread client : clients) {
+            client.join();
         }
-        return lost == 0 && gateway.isAlive();
+        Record.say("answered %d, lost %d", answered.get(), lost.get());
+        return lost.get() == 0;
     }
 
-    private void stop(List<Socket> stopped) throws IOException {
-        for (int i = 0; i < STOPPED_CLIENTS; i++) {
-            Socket socket = new Socket();
-            socket.connect(listen);
-            socket.getOutputStream().write(("POST /symbols/other-" + i + "?uploadId=upload" + i
-                + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + ANNOUNCED_BYTES + "\r\n\r\n<CompleteMultipartUpload>")
-                    .getBytes(StandardCharsets.US_ASCII));
-            stopped.add(socket);
-        }
-        Record.line("%d clients have sent the beginning of a list of parts and stay", STOPPED_CLIENTS);
+    private static void write(Path file, int port, Discovery discovery, int mgmt, String classes) throws IOException {
+        Platform.write(file, "127.0.0.1:" + port, discovery.text(), "127.0.0.1:" + mgmt, discovery.list(), classes, SHARDS, 3);
     }
 
-    /** Creates an upload and completes it; returns the status of the first that is not 200, or 200. */
-    private int upload(String path) throws IOException {
-        Http.Response created = call(path + "?uploads", "");
-        if (created.status() != 200) {
-            return created.status();
-        }
-        String id = created.text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
-        StringBuilder list = new StringBuilder("<CompleteMultipartUpload>");
-        for (int part = 1; part <= PARTS; part++) {
-            list.append("<Part><PartNumber>").append(part).append("</PartNumber><ETag>\"")
-                .append("d41d8cd98f00b204e9800998ecf8427e\"</ETag></Part>");
-        }
-        return call(path + "?uploadId=" + id, list.append("</CompleteMultipartUpload>").toString()).status();
+    private Scheduler start(String name, Path file, Path shared) throws IOException {
+        return new Scheduler(name, "", Map.of("GW_CONFIG", file.toString(), "GW_SOCKET_FD", "0", "TMPDIR",
+            shared.toString()), folder);
     }
 
-    private Http.Response call(String uri, String body) throws IOException {
+    private static String status(int mgmt) {
         try (Socket socket = new Socket()) {
-            socket.connect(listen);
-            socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(("POST " + uri + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + body.length()
-                + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            socket.connect(new InetSocketAddress("127.0.0.1", mgmt), 500);
+            socket.setSoTimeout(1_000);
+            socket.getOutputStream().write("status\n".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static String id(int number) {
+        return HexFormat.of().toHexDigits(5_000L + number);
+    }
+
+    private static void ask(Socket socket, int number, int shard, String requestClass, int deadline) throws IOException {
+        Record.line("client: %s %s for s-%d, deadline %d ms", requestClass, id(number), shard, deadline);
+        socket.getOutputStream().write(Resp.command("OBJ.GET", id(number), id(number), "c=" + requestClass
+            + ",t=prioritario,d=" + deadline + ",volume=00000003b4d60021,units=2,shard=" + shard + ",hosts=1"));
+    }
+
+    private void await(Socket socket, int number) {
+        double at = Record.now();
+        try (socket) {
+            socket.setSoTimeout(6_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            return Http.readResponse(in);
+            Record.line("client: %s is answered %s after %.0f ms", id(number), Resp.readAnswer(in), Record.now() - at);
+            answered.incrementAndGet();
+        } catch (IOException e) {
+            Record.say("%s: LOST, the connection ended without an answer after %.0f ms: %s", id(number), Record.now() - at, e);
+            lost.incrementAndGet();
         }
     }
 }
--- a/review/src-2/review2/Case9.java
+++ b/review/src-2/review2/Case9.java
@@ -7,22 +7,30 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.HexFormat;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.zip.CRC32;
 
 /**
- * A new configuration makes a class stricter; later the operators go back to the former file, and send SIGHUP once more soon
- * after. A node resets connections under requests that have begun.
+ * One object server of six hangs in the middle of its work for some seconds: it has sent the heads of its answers, and goes
+ * on afterwards. Clients read small objects, one after the other.
  */
 final class Case9 extends Case {
-    private static final int REQUESTS = 4;
-    private static final long STRICT_FOR_MS = 3_000;
-    private static final long BETWEEN_SIGNALS_MS = 300;
-    /** New settings take effect so long after SIGHUP; requests that are sent later are not judged. */
-    private static final double TAKES_EFFECT_MS = 1_200;
+    private static final int SHARDS = 6;
+    private static final int HANG_MS = 8_000;
+    private static final int OBJECT_BYTES = 1_000;
+    /** The deadline of the class dump-read. */
+    private static final int DEADLINE_MS = 1_200;
+    /** Half a second after its time a request is lost; every time limit is 50 ms longer. */
+    private static final int LATE_MS = 550;
+    private static final int RUN_MS = 12_000;
 
-    private final Map<String, Integer> runs = new TreeMap<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger refusedOrFailed = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private volatile double hangsUntil;
     private InetSocketAddress listen;
 
     Case9() throws IOException {}
@@ -31,75 +39,105 @@
         main(new Case9(), arguments);
     }
 
-    @Override boolean run() throws Exception {
-        Discovery discovery = new Discovery();
-        RespNode node = new RespNode("s-0", 0, (self, command, connection) -> {
-            int run;
-            synchronized (runs) {
-                run = runs.merge(command[2], 1, Integer::sum);
-            }
-            Record.line("the node runs %s, run %d", command[2], run);
-            if (run > 1) {
-                return RespNode.served("stored".getBytes(StandardCharsets.US_ASCII));
-            }
-            connection.setSoLinger(true, 0);
-            connection.close();
+    private byte[] answer(int shard, String uri, Socket connection) throws Exception {
+        byte[] content = content(uri);
+        Thread.sleep(5);
+        byte[] head = ("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: " + content.length + "\r\n\r\n")
+            .getBytes(StandardCharsets.US_ASCII);
+        double hang = shard == 0 ? hangsUntil - Record.now() : 0;
+        if (hang > 0) {
+            connection.getOutputStream().write(head);
+            Record.line("server 0 has sent the head of %s and hangs", uri);
+            Thread.sleep((long) hang);
+            connection.getOutputStream().write(content);
             return null;
-        });
-        discovery.put("s-0", node.dial(), 0, "ready", 0);
+        }
+        byte[] all = new byte[head.length + content.length];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(content, 0, all, head.length, content.length);
+        return all;
+    }
+
+    private static byte[] content(String uri) {
+        return uri.repeat(1 + OBJECT_BYTES / uri.length()).substring(0, OBJECT_BYTES).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** The shard of an object, as the gateway spreads them. */
+    private static int shard(String uri) {
+        CRC32 sum = new CRC32();
+        sum.update(uri.substring(1).getBytes(StandardCharsets.UTF_8));
+        return (int) (sum.getValue() % SHARDS);
+    }
+
+    @Override boolean run() throws Exception {
+        String[] endpoints = new String[SHARDS];
+        for (int shard = 0; shard < SHARDS; shard++) {
+            int own = shard;
+            ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(own, uri, connection));
+            endpoints[shard] = Gateway.endpoint(node.port(), shard, "HEALTHY");
+        }
         int port = Scheduler.freePort();
-        String address = "127.0.0.1:" + port;
         listen = new InetSocketAddress("127.0.0.1", port);
-        Path config = folder.resolve("config.json");
-        String former = Platform.CLASSES.formatted("pure");
-        String stricter = Platform.CLASSES.formatted("side_effect");
-        Platform.write(config, address, discovery.text(), null, discovery.list(), former, 1, 3);
-        Scheduler scheduler = new Scheduler("n0", "", Map.of("GW_CONFIG", config.toString()), folder);
-        if (!scheduler.awaitPong(listen)) {
-            throw new NotRunException("the scheduler is not ready");
+        Path config = folder.resolve("objects.json");
+        Gateway.write(config, "127.0.0.1:" + port, SHARDS, Gateway.inline(endpoints), "");
+        Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
+        if (!gateway.awaitHttp(listen)) {
+            throw new NotRunException("the gateway is not ready");
         }
-        Thread.sleep(1_500);
-        Platform.write(config, address, discovery.text(), null, discovery.list(), stricter, 1, 3);
-        Record.line("the file now names report-ingest as side_effect");
-        scheduler.signal("HUP");
-        Thread.sleep(STRICT_FOR_MS);
-        ingest(1);
-        Platform.write(config, address, discovery.text(), null, discovery.list(), former, 1, 3);
-        Record.line("the file is the former one again: report-ingest is pure");
-        double goneBack = Record.now();
-        scheduler.signal("HUP");
-        Thread.sleep(BETWEEN_SIGNALS_MS);
+        Thread.sleep(500);
+        double start = Record.now();
         if (trouble) {
-            scheduler.signal("HUP");
+            hangsUntil = start + 2_000 + HANG_MS;
         }
-        Thread.sleep(100);
-        for (int i = 2; i < 2 + REQUESTS && Record.now() < goneBack + TAKES_EFFECT_MS - 500; i++) {
-            Record.line("report-ingest is side_effect for another %.0f ms", goneBack + TAKES_EFFECT_MS - Record.now());
-            ingest(i);
+        List<Thread> clients = new ArrayList<>();
+        for (int shard = 0; shard < SHARDS; shard++) {
+            int wanted = shard;
+            double first = trouble && shard == 0 ? start + 2_000 : start;
+            Thread client = new Thread(() -> read(wanted, first, start + RUN_MS));
+            client.start();
+            clients.add(client);
         }
-        if (runs.size() < 2) {
-            throw new NotRunException("this machine was too slow to send a request in time");
+        for (Thread client : clients) {
+            client.join();
         }
-        boolean held = true;
-        for (Map.Entry<String, Integer> run : runs.entrySet()) {
-            if (run.getValue() > 1) {
-                Record.say("report-ingest %s ran %d times", run.getKey(), run.getValue());
-                held = false;
+        Record.say("served %d, refused or failed %d, lost %d", served.get(), refusedOrFailed.get(), lost.get());
+        return lost.get() == 0;
+    }
+
+    /** Reads objects of one shard, a request every 250 ms at most. */
+    private void read(int shard, double first, double until) {
+        try {
+            Thread.sleep((long) Math.max(0, first - Record.now()));
+            for (int i = 0; Record.now() < until; i++) {
+                String uri = "/crash-dumps/dump-" + i;
+                if (shard(uri) == shard) {
+                    read(uri);
+                    Thread.sleep(250);
+                }
             }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        return held;
     }
 
-    private void ingest(int number) throws IOException {
-        String id = HexFormat.of().toHexDigits(77_000L + number);
+    private void read(String uri) {
+        double at = Record.now();
+        String outcome;
         try (Socket socket = new Socket()) {
             socket.connect(listen);
-            socket.setSoTimeout(4_000);
-            Record.line("client: report-ingest %s", id);
-            socket.getOutputStream().write(Resp.command("OBJ.PUT", id, id,
-                "c=report-ingest,t=prioritario,d=3000,volume=00000003b4d60021,units=2,shard=0,hosts=1", "report"));
+            socket.setSoTimeout(DEADLINE_MS + LATE_MS);
+            socket.getOutputStream().write(("GET " + uri + " HTTP/1.1\r\nHost: dumps\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Record.line("client: report-ingest %s is answered %s", id, Resp.readAnswer(in));
+            Http.Response response = Http.readResponse(in);
+            outcome = response.status() + " after " + (long) (Record.now() - at) + " ms";
+            boolean late = Record.now() - at > DEADLINE_MS + LATE_MS;
+            (late ? lost : response.status() == 200 ? served : refusedOrFailed).incrementAndGet();
+        } catch (IOException e) {
+            lost.incrementAndGet();
+            outcome = "LOST, no byte of an answer " + (long) (Record.now() - at) + " ms after the request: " + e;
+            System.out.println(uri + ": " + outcome);
         }
+        Record.line("GET %s (shard %d): %s", uri, shard(uri), outcome);
     }
 }
--- a/review/src-2/review2/Scheduler.java
+++ b/review/src-2/review2/Scheduler.java
@@ -25,7 +25,10 @@
     private final Process process;
     final Path log;
 
-    /** Starts the program in the project's root; {@code more} follows the command of the deploy file. */
+    /**
+     * Starts the program in the project's root; {@code more} follows the command of the deploy file. With GW_SOCKET_FD in its
+     * environment it inherits this process's descriptor 0.
+     */
     Scheduler(String name, String more, Map<String, String> environment, Path folder) throws IOException {
         Path root = Path.of(System.getProperty("review.root"));
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$")
@@ -36,7 +39,8 @@
         log = folder.resolve(name + ".log");
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1).replace("\\\"", "\"") + more);
         builder.directory(root.toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
-        builder.redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
+        builder.redirectInput(environment.containsKey("GW_SOCKET_FD") ? ProcessBuilder.Redirect.INHERIT
+            : ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
         Path temporary = Files.createDirectories(folder.resolve(name + ".tmp"));
         builder.environment().put("TMPDIR", temporary.toString());
         builder.environment().putAll(environment);
