Review case 10: after an abort that was turned away an upload's part is stored twice

Cause: UploadParts.recordAbort forgets parts of unknown outcome before the abort is sent. The program is not changed.

--- a/review/src-2/review2/Case10.java
+++ b/review/src-2/review2/Case10.java
@@ -7,24 +7,38 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
+import java.security.MessageDigest;
+import java.util.HexFormat;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Some clients stop in the middle of a CompleteMultipartUpload and stay. A usual client creates uploads and completes them,
- * one after the other.
+ * An object server hangs in the middle of storing the last part of an upload. For a while it turns other writes away, then it
+ * serves them; the one that hangs goes on later. The client wants to give the upload up and is turned away, so it goes on with
+ * the upload and sends the part again.
  */
 final class Case10 extends Case {
-    private static final int STOPPED_CLIENTS = 60;
-    /** A list of parts may have 1 MiB. */
-    private static final int ANNOUNCED_BYTES = 1_000_000;
-    /** An upload may have 10,000. */
-    private static final int PARTS = 9_000;
-    private static final int UPLOADS = 20;
-    /** The deadline of writes, 3 s, and 256 KiB of body a second; then half a second and 50 ms. */
-    private static final int PATIENCE_MS = 3_000 + 4_000 + 550;
+    /** So long the write hangs. */
+    private static final int HANG_MS = 9_000;
+    /** So long other writes are turned away. */
+    private static final int BUSY_MS = 3_600;
+    /** For so long after its start the gateway distrusts what it does not know; see docs/design/DATA-PATH.md. */
+    private static final int GATEWAY_AGE_MS = 32_000;
+    /** For a look only: leaves the client's abort out. */
+    private static final boolean ABORTS = !Boolean.getBoolean("review.no.abort");
 
+    /** An upload at the server. */
+    private static final class Upload {
+        final Map<Integer, byte[]> parts = new TreeMap<>();
+        final Map<Integer, Integer> stored = new TreeMap<>();
+    }
+
+    private final Map<String, Upload> uploads = new ConcurrentHashMap<>();
+    private final AtomicInteger created = new AtomicInteger();
+    private volatile String hangsAt;
+    private volatile double busyUntil;
     private InetSocketAddress listen;
 
     Case10() throws IOException {}
@@ -33,17 +47,93 @@
         main(new Case10(), arguments);
     }
 
+    // ---------------------------------------------------------------- the server
+
+    private static String parameter(String uri, String name) {
+        for (String field : uri.substring(uri.indexOf('?') + 1).split("&")) {
+            if (field.startsWith(name + "=")) {
+                return field.substring(name.length() + 1);
+            }
+        }
+        return "";
+    }
+
+    private static byte[] xml(String text) {
+        return Http.response(200, "Content-Type: application/xml\r\n", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private byte[] answer(String method, String uri, byte[] body) throws Exception {
+        Thread.sleep(5);
+        if (!method.equals("GET") && Record.now() < busyUntil) {
+            Record.line("the server turns %s %s away: 503", method, uri);
+            return Http.response(503, "", new byte[0]);
+        }
+        if (uri.endsWith("?uploads")) {
+            String id = "u" + created.incrementAndGet();
+            uploads.put(id, new Upload());
+            return xml("<InitiateMultipartUploadResult><UploadId>" + id + "</UploadId></InitiateMultipartUploadResult>");
+        }
+        String id = parameter(uri, "uploadId");
+        Upload upload = uploads.get(id);
+        if (upload == null) {
+            return Http.response(404, "", "<Error><Code>NoSuchUpload</Code></Error>".getBytes(StandardCharsets.UTF_8));
+        }
+        return switch (method) {
+            case "GET" -> list(upload, uri);
+            case "PUT" -> store(id, upload, Integer.parseInt(parameter(uri, "partNumber")), body);
+            case "DELETE" -> {
+                uploads.remove(id);
+                Record.line("the server aborts %s", id);
+                yield Http.response(204, "", new byte[0]);
+            }
+            default -> {
+                uploads.remove(id);
+                Record.line("the server completes %s", id);
+                yield xml("<CompleteMultipartUploadResult><ETag>\"1\"</ETag></CompleteMultipartUploadResult>");
+            }
+        };
+    }
+
+    private byte[] list(Upload upload, String uri) throws Exception {
+        String marker = parameter(uri, "part-number-marker");
+        int after = marker.isEmpty() ? 0 : Integer.parseInt(marker);
+        StringBuilder text = new StringBuilder("<ListPartsResult>");
+        synchronized (upload) {
+            for (Map.Entry<Integer, byte[]> part : upload.parts.entrySet()) {
+                if (part.getKey() > after) {
+                    text.append("<Part><PartNumber>").append(part.getKey()).append("</PartNumber><ETag>")
+                        .append(tag(part.getValue())).append("</ETag><Size>").append(part.getValue().length)
+                        .append("</Size></Part>");
+                }
+            }
+            Record.line("the server lists parts: %s", upload.parts.keySet());
+        }
+        return xml(text.append("</ListPartsResult>").toString());
+    }
+
+    private byte[] store(String id, Upload upload, int part, byte[] body) throws Exception {
+        if ((id + "#" + part).equals(hangsAt)) {
+            hangsAt = null;
+            busyUntil = Record.now() + BUSY_MS;
+            Record.line("the server has read part %d of %s and hangs", part, id);
+            Thread.sleep(HANG_MS);
+        }
+        synchronized (upload) {
+            upload.parts.put(part, body);
+            int times = upload.stored.merge(part, 1, Integer::sum);
+            Record.line("the server stores part %d of %s, time %d", part, id, times);
+        }
+        return Http.response(200, "ETag: " + tag(body) + "\r\n", new byte[0]);
+    }
+
+    private static String tag(byte[] body) throws Exception {
+        return "\"" + HexFormat.of().formatHex(MessageDigest.getInstance("MD5").digest(body)) + "\"";
+    }
+
+    // ---------------------------------------------------------------- the client
+
     @Override boolean run() throws Exception {
-        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> {
-            Thread.sleep(5);
-            boolean create = uri.endsWith("?uploads");
-            Record.line("the server runs %s %s with %d bytes", method, uri, body.length);
-            return Http.response(200, "Content-Type: application/xml\r\n", (create
-                ? "<InitiateMultipartUploadResult><UploadId>upload" + Math.abs(uri.hashCode())
-                    + "</UploadId></InitiateMultipartUploadResult>"
-                : "<CompleteMultipartUploadResult><ETag>\"1\"</ETag></CompleteMultipartUploadResult>")
-                    .getBytes(StandardCharsets.UTF_8));
-        });
+        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(method, uri, body));
         int port = Scheduler.freePort();
         listen = new InetSocketAddress("127.0.0.1", port);
         Path config = folder.resolve("objects.json");
@@ -52,74 +142,57 @@
         if (!gateway.awaitHttp(listen)) {
             throw new NotRunException("the gateway is not ready");
         }
-        Thread.sleep(500);
-        int answered = 0;
-        int refused = 0;
-        int lost = 0;
-        List<Socket> stopped = new ArrayList<>();
-        for (int i = 0; i < UPLOADS && lost < 5; i++) {
-            if (trouble && i == 3) {
-                stop(stopped);
-                Thread.sleep(300);
-            }
-            double at = Record.now();
-            try {
-                int status = upload("/symbols/file-" + i);
-                Record.line("upload %d: %d after %.0f ms", i, status, Record.now() - at);
-                if (status == 200) {
-                    answered++;
-                } else {
-                    refused++;
-                }
-            } catch (IOException e) {
-                Record.say("upload %d: LOST after %.0f ms: %s", i, Record.now() - at, e);
-                lost++;
-            }
-            Thread.sleep(100);
+        Thread.sleep(GATEWAY_AGE_MS);
+        String path = "/symbols/lib.sym";
+        Http.Response begun = call("POST", path + "?uploads", "");
+        if (begun.status() != 200) {
+            throw new NotRunException("no upload was created");
         }
-        Record.say("answered %d, refused %d, lost %d; the gateway %s", answered, refused, lost,
-            gateway.isAlive() ? "runs" : "HAS ENDED");
-        for (Socket socket : stopped) {
-            socket.close();
+        String id = begun.text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
+        Upload upload = uploads.get(id);
+        if (call("PUT", path + "?partNumber=1&uploadId=" + id, "first part").status() != 200) {
+            throw new NotRunException("the first part was not stored");
         }
-        return lost == 0 && gateway.isAlive();
-    }
-
-    private void stop(List<Socket> stopped) throws IOException {
-        for (int i = 0; i < STOPPED_CLIENTS; i++) {
-            Socket socket = new Socket();
-            socket.connect(listen);
-            socket.getOutputStream().write(("POST /symbols/other-" + i + "?uploadId=upload" + i
-                + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + ANNOUNCED_BYTES + "\r\n\r\n<CompleteMultipartUpload>")
-                    .getBytes(StandardCharsets.US_ASCII));
-            stopped.add(socket);
+        if (trouble) {
+            hangsAt = id + "#2";
         }
-        Record.line("%d clients have sent the beginning of a list of parts and stay", STOPPED_CLIENTS);
-    }
-
-    /** Creates an upload and completes it; returns the status of the first that is not 200, or 200. */
-    private int upload(String path) throws IOException {
-        Http.Response created = call(path + "?uploads", "");
-        if (created.status() != 200) {
-            return created.status();
+        String last = path + "?partNumber=2&uploadId=" + id;
+        double start = Record.now();
+        int status = call("PUT", last, "last part").status();
+        if (status != 200 && ABORTS) {
+            int aborted = call("DELETE", path + "?uploadId=" + id, "").status();
+            if (aborted / 100 == 2 || aborted == 404) {
+                throw new NotRunException("the upload was aborted");
+            }
+            Record.line("the upload was not aborted, so the client goes on with it");
         }
-        String id = created.text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
-        StringBuilder list = new StringBuilder("<CompleteMultipartUpload>");
-        for (int part = 1; part <= PARTS; part++) {
-            list.append("<Part><PartNumber>").append(part).append("</PartNumber><ETag>\"")
-                .append("d41d8cd98f00b204e9800998ecf8427e\"</ETag></Part>");
+        while (status != 200 && Record.now() < start + 45_000) {
+            Thread.sleep(1_000);
+            status = call("PUT", last, "last part").status();
+        }
+        Thread.sleep((long) Math.max(0, start + HANG_MS + 1_000 - Record.now()));
+        boolean held = true;
+        synchronized (upload) {
+            Record.say("the last part was answered %d; parts by the times that they were stored: %s", status, upload.stored);
+            for (int times : upload.stored.values()) {
+                held &= times <= 1;
+            }
         }
-        return call(path + "?uploadId=" + id, list.append("</CompleteMultipartUpload>").toString()).status();
+        int complete = call("POST", path + "?uploadId=" + id, "<CompleteMultipartUpload/>").status();
+        Record.line("the completion was answered %d", complete);
+        return held;
     }
 
-    private Http.Response call(String uri, String body) throws IOException {
+    private Http.Response call(String method, String uri, String body) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(listen);
-            socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(("POST " + uri + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: " + body.length()
-                + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write((method + " " + uri + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            return Http.readResponse(in);
+            Http.Response response = Http.readResponse(in);
+            Record.line("client: %s %s: %d", method, uri, response.status());
+            return response;
         }
     }
 }
