Review case 7: one request with a blank in its volume stops the next upgrade for 10 s

Cause: LimitHandoverFile cannot read back such a volume, and ProcessHandover.await goes on while the file exists. Change: case 7 is new; the cases of part one are numbered anew by gravity: 8 part stored twice, 9 foreign data, 10 early end. The program is not changed.

--- a/review/src-2/review2/Case10.java
+++ b/review/src-2/review2/Case10.java
@@ -6,39 +6,29 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.MessageDigest;
+import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * An object server hangs in the middle of storing the last part of an upload. For a while it turns other writes away, then it
- * serves them; the one that hangs goes on later. The client wants to give the upload up and is turned away, so it goes on with
- * the upload and sends the part again.
+ * A class with a longer deadline appears by SIGHUP; later the process is replaced while a storage node hangs. Descriptor 0 of
+ * this process is the clients' listening socket, as the platform holds it.
  */
 final class Case10 extends Case {
-    /** So long the write hangs. */
-    private static final int HANG_MS = 9_000;
-    /** So long other writes are turned away. */
-    private static final int BUSY_MS = 3_600;
-    /** For so long after its start the gateway distrusts what it does not know; see docs/design/DATA-PATH.md. */
-    private static final int GATEWAY_AGE_MS = 32_000;
-    /** For a look only: leaves the client's abort out. */
-    private static final boolean ABORTS = !Boolean.getBoolean("review.no.abort");
-
-    /** An upload at the server. */
-    private static final class Upload {
-        final Map<Integer, byte[]> parts = new TreeMap<>();
-        final Map<Integer, Integer> stored = new TreeMap<>();
-    }
-
-    private final Map<String, Upload> uploads = new ConcurrentHashMap<>();
-    private final AtomicInteger created = new AtomicInteger();
-    private volatile String hangsAt;
-    private volatile double busyUntil;
+    private static final int SHARDS = 4;
+    private static final int REQUESTS = 3;
+    /** The longest deadline, counted as 3 s at most, and 0.7 s. */
+    private static final long KILL_AFTER_MS = 3_700;
+    private static final String SHORT_CLASSES = """
+        [{"aim": 250.0, "deadline": 1200.0, "dedup_scope": "all", "effect": "pure", "late_share": 0.2, "name": "report-read",
+          "streaming": false, "window": 5000.0, "worth": 2.0}]""";
+
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
     private InetSocketAddress listen;
 
     Case10() throws IOException {}
@@ -47,152 +37,117 @@
         main(new Case10(), arguments);
     }
 
-    // ---------------------------------------------------------------- the server
-
-    private static String parameter(String uri, String name) {
-        for (String field : uri.substring(uri.indexOf('?') + 1).split("&")) {
-            if (field.startsWith(name + "=")) {
-                return field.substring(name.length() + 1);
-            }
-        }
-        return "";
-    }
-
-    private static byte[] xml(String text) {
-        return Http.response(200, "Content-Type: application/xml\r\n", text.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private byte[] answer(String method, String uri, byte[] body) throws Exception {
-        Thread.sleep(5);
-        if (!method.equals("GET") && Record.now() < busyUntil) {
-            Record.line("the server turns %s %s away: 503", method, uri);
-            return Http.response(503, "", new byte[0]);
+    @Override boolean run() throws Exception {
+        Discovery discovery = new Discovery();
+        for (int block = 0; block < SHARDS; block++) {
+            RespNode node = new RespNode("s-" + block, block, (self, command, connection) -> {
+                Record.line("%s takes %s%s", self.name, command[2], self.block == 0 ? " and does not answer" : "");
+                return self.block == 0 ? null : RespNode.served("value".getBytes(StandardCharsets.US_ASCII));
+            });
+            discovery.put(node.name, node.dial(), block, "ready", 0);
         }
-        if (uri.endsWith("?uploads")) {
-            String id = "u" + created.incrementAndGet();
-            uploads.put(id, new Upload());
-            return xml("<InitiateMultipartUploadResult><UploadId>" + id + "</UploadId></InitiateMultipartUploadResult>");
+        int port = Integer.parseInt(System.getenv("REVIEW_LISTEN_PORT"));
+        listen = new InetSocketAddress("127.0.0.1", port);
+        String all = Platform.CLASSES.formatted("side_effect");
+        Path firstFile = folder.resolve("first.json");
+        Path secondFile = folder.resolve("second.json");
+        int firstMgmt = Scheduler.freePort();
+        int secondMgmt = Scheduler.freePort();
+        write(firstFile, port, discovery, firstMgmt, trouble ? SHORT_CLASSES : all);
+        write(secondFile, port, discovery, secondMgmt, all);
+        Path shared = Files.createDirectories(folder.resolve("shared"));
+        Scheduler first = start("first", firstFile, shared);
+        if (!first.awaitPong(listen)) {
+            throw new NotRunException("the first process is not ready");
         }
-        String id = parameter(uri, "uploadId");
-        Upload upload = uploads.get(id);
-        if (upload == null) {
-            return Http.response(404, "", "<Error><Code>NoSuchUpload</Code></Error>".getBytes(StandardCharsets.UTF_8));
+        Thread.sleep(1_500);
+        if (trouble) {
+            write(firstFile, port, discovery, firstMgmt, all);
+            Record.line("the file now names bulk-export too, with a deadline of 5 s");
+            first.signal("HUP");
+            Thread.sleep(2_500);
         }
-        return switch (method) {
-            case "GET" -> list(upload, uri);
-            case "PUT" -> store(id, upload, Integer.parseInt(parameter(uri, "partNumber")), body);
-            case "DELETE" -> {
-                uploads.remove(id);
-                Record.line("the server aborts %s", id);
-                yield Http.response(204, "", new byte[0]);
+        Scheduler second = null;
+        List<Thread> clients = new ArrayList<>();
+        Socket[] sockets = new Socket[REQUESTS];
+        for (int i = 0; i < REQUESTS; i++) {
+            sockets[i] = new Socket();
+            sockets[i].connect(listen);
+            ask(sockets[i], 100 + i, 1 + i % (SHARDS - 1), "bulk-export", 5_000);
+            if (!Resp.readAnswer(sockets[i].getInputStream()).startsWith("$")) {
+                throw new NotRunException("bulk-export is not served");
             }
-            default -> {
-                uploads.remove(id);
-                Record.line("the server completes %s", id);
-                yield xml("<CompleteMultipartUploadResult><ETag>\"1\"</ETag></CompleteMultipartUploadResult>");
-            }
-        };
-    }
-
-    private byte[] list(Upload upload, String uri) throws Exception {
-        String marker = parameter(uri, "part-number-marker");
-        int after = marker.isEmpty() ? 0 : Integer.parseInt(marker);
-        StringBuilder text = new StringBuilder("<ListPartsResult>");
-        synchronized (upload) {
-            for (Map.Entry<Integer, byte[]> part : upload.parts.entrySet()) {
-                if (part.getKey() > after) {
-                    text.append("<Part><PartNumber>").append(part.getKey()).append("</PartNumber><ETag>")
-                        .append(tag(part.getValue())).append("</ETag><Size>").append(part.getValue().length)
-                        .append("</Size></Part>");
-                }
+        }
+        second = start("second", secondFile, shared);
+        long until = System.nanoTime() + 6_000_000_000L;
+        while (!status(secondMgmt).startsWith("ACK")) {
+            if (System.nanoTime() > until) {
+                throw new NotRunException("the second process has not said yes within 6 s");
             }
-            Record.line("the server lists parts: %s", upload.parts.keySet());
+            Thread.sleep(50);
         }
-        return xml(text.append("</ListPartsResult>").toString());
-    }
-
-    private byte[] store(String id, Upload upload, int part, byte[] body) throws Exception {
-        if ((id + "#" + part).equals(hangsAt)) {
-            hangsAt = null;
-            busyUntil = Record.now() + BUSY_MS;
-            Record.line("the server has read part %d of %s and hangs", part, id);
-            Thread.sleep(HANG_MS);
+        Record.line("the second process has said yes");
+        for (int i = 0; i < REQUESTS; i++) {
+            ask(sockets[i], i, 0, "bulk-export", 5_000);
+            int number = i;
+            Thread client = new Thread(() -> await(sockets[number], number));
+            client.start();
+            clients.add(client);
         }
-        synchronized (upload) {
-            upload.parts.put(part, body);
-            int times = upload.stored.merge(part, 1, Integer::sum);
-            Record.line("the server stores part %d of %s, time %d", part, id, times);
+        Thread.sleep(300);
+        double term = Record.now();
+        first.signal("TERM");
+        boolean ended = first.awaitEnd(KILL_AFTER_MS);
+        Record.say(ended ? "the first process has ended %.0f ms after SIGTERM" : "the first process runs %.0f ms after SIGTERM",
+            Record.now() - term);
+        first.kill();
+        for (Thread client : clients) {
+            client.join();
         }
-        return Http.response(200, "ETag: " + tag(body) + "\r\n", new byte[0]);
+        Record.say("answered %d, lost %d", answered.get(), lost.get());
+        return lost.get() == 0;
     }
 
-    private static String tag(byte[] body) throws Exception {
-        return "\"" + HexFormat.of().formatHex(MessageDigest.getInstance("MD5").digest(body)) + "\"";
+    private static void write(Path file, int port, Discovery discovery, int mgmt, String classes) throws IOException {
+        Platform.write(file, "127.0.0.1:" + port, discovery.text(), "127.0.0.1:" + mgmt, discovery.list(), classes, SHARDS, 3);
     }
 
-    // ---------------------------------------------------------------- the client
+    private Scheduler start(String name, Path file, Path shared) throws IOException {
+        return new Scheduler(name, "", Map.of("GW_CONFIG", file.toString(), "GW_SOCKET_FD", "0", "TMPDIR",
+            shared.toString()), folder);
+    }
 
-    @Override boolean run() throws Exception {
-        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(method, uri, body));
-        int port = Scheduler.freePort();
-        listen = new InetSocketAddress("127.0.0.1", port);
-        Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, 1, Gateway.inline(Gateway.endpoint(node.port(), 0, "HEALTHY")), "");
-        Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
-        if (!gateway.awaitHttp(listen)) {
-            throw new NotRunException("the gateway is not ready");
-        }
-        Thread.sleep(GATEWAY_AGE_MS);
-        String path = "/symbols/lib.sym";
-        Http.Response begun = call("POST", path + "?uploads", "");
-        if (begun.status() != 200) {
-            throw new NotRunException("no upload was created");
-        }
-        String id = begun.text().replaceAll(".*<UploadId>(.*)</UploadId>.*", "$1");
-        Upload upload = uploads.get(id);
-        if (call("PUT", path + "?partNumber=1&uploadId=" + id, "first part").status() != 200) {
-            throw new NotRunException("the first part was not stored");
-        }
-        if (trouble) {
-            hangsAt = id + "#2";
-        }
-        String last = path + "?partNumber=2&uploadId=" + id;
-        double start = Record.now();
-        int status = call("PUT", last, "last part").status();
-        if (status != 200 && ABORTS) {
-            int aborted = call("DELETE", path + "?uploadId=" + id, "").status();
-            if (aborted / 100 == 2 || aborted == 404) {
-                throw new NotRunException("the upload was aborted");
-            }
-            Record.line("the upload was not aborted, so the client goes on with it");
-        }
-        while (status != 200 && Record.now() < start + 45_000) {
-            Thread.sleep(1_000);
-            status = call("PUT", last, "last part").status();
-        }
-        Thread.sleep((long) Math.max(0, start + HANG_MS + 1_000 - Record.now()));
-        boolean held = true;
-        synchronized (upload) {
-            Record.say("the last part was answered %d; parts by the times that they were stored: %s", status, upload.stored);
-            for (int times : upload.stored.values()) {
-                held &= times <= 1;
-            }
+    private static String status(int mgmt) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", mgmt), 500);
+            socket.setSoTimeout(1_000);
+            socket.getOutputStream().write("status\n".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
+        } catch (IOException e) {
+            return "";
         }
-        int complete = call("POST", path + "?uploadId=" + id, "<CompleteMultipartUpload/>").status();
-        Record.line("the completion was answered %d", complete);
-        return held;
     }
 
-    private Http.Response call(String method, String uri, String body) throws IOException {
-        try (Socket socket = new Socket()) {
-            socket.connect(listen);
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream().write((method + " " + uri + " HTTP/1.1\r\nHost: dumps\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+    private static String id(int number) {
+        return HexFormat.of().toHexDigits(5_000L + number);
+    }
+
+    private static void ask(Socket socket, int number, int shard, String requestClass, int deadline) throws IOException {
+        Record.line("client: %s %s for s-%d, deadline %d ms", requestClass, id(number), shard, deadline);
+        socket.getOutputStream().write(Resp.command("OBJ.GET", id(number), id(number), "c=" + requestClass
+            + ",t=prioritario,d=" + deadline + ",volume=00000003b4d60021,units=2,shard=" + shard + ",hosts=1"));
+    }
+
+    private void await(Socket socket, int number) {
+        double at = Record.now();
+        try (socket) {
+            socket.setSoTimeout(6_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Http.Response response = Http.readResponse(in);
-            Record.line("client: %s %s: %d", method, uri, response.status());
-            return response;
+            Record.line("client: %s is answered %s after %.0f ms", id(number), Resp.readAnswer(in), Record.now() - at);
+            answered.incrementAndGet();
+        } catch (IOException e) {
+            Record.say("%s: LOST, the connection ended without an answer after %.0f ms: %s", id(number), Record.now() - at, e);
+            lost.incrementAndGet();
         }
     }
 }
--- a/review/src-2/review2/Case7.java
+++ b/review/src-2/review2/Case7.java
@@ -2,37 +2,36 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.zip.CRC32;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Four object servers hold a shard each. Two of them are replaced: server C comes for shard 0 at the address that server B
- * had, and server D for shard 1 at a new one. Clients go on storing and reading objects.
+ * The process is replaced some seconds after a bad client has sent one request whose volume is not 16 hex digits. Usual clients
+ * send requests on new connections all the time. Descriptor 0 of this process is the clients' listening socket, as the platform
+ * holds it.
  */
 final class Case7 extends Case {
     private static final int SHARDS = 4;
-    private static final int OBJECTS = 24;
+    /** The longest deadline, counted as 3 s at most, and 0.7 s. */
+    private static final long KILL_AFTER_MS = 3_700;
+    private static final int DEADLINE_MS = 1_200;
+    /** Half a second after its time a request is lost; every time limit is 50 ms longer. */
+    private static final int LATE_MS = 550;
+    private static final int REQUEST_EVERY_MS = 100;
+    private static final int RUN_MS = 14_000;
 
-    /** An object server's store: the objects of its shard, by path. */
-    private static final class Store {
-        final String name;
-        final int shard;
-        final Map<String, byte[]> objects = new ConcurrentHashMap<>();
-
-        Store(String name, int shard) {
-            this.name = name;
-            this.shard = shard;
-        }
-    }
-
-    /** What answers at the second address; replaced with its machine. */
-    private volatile Store atSecond;
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger refusedOrFailed = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
     private InetSocketAddress listen;
 
     Case7() throws IOException {}
@@ -41,101 +40,127 @@
         main(new Case7(), arguments);
     }
 
-    private static byte[] answer(Store store, String method, String uri, byte[] body) {
-        if (method.equals("PUT")) {
-            store.objects.put(uri, body);
-            Record.line("server %s (shard %d) stores %s, an object of shard %d", store.name, store.shard, uri, shard(uri));
-            return Http.response(200, "ETag: \"1\"\r\n", new byte[0]);
+    @Override boolean run() throws Exception {
+        Discovery discovery = new Discovery();
+        for (int block = 0; block < SHARDS; block++) {
+            RespNode node = new RespNode("s-" + block, block, (self, command, connection) -> {
+                Thread.sleep(4);
+                return RespNode.served("value".getBytes(StandardCharsets.US_ASCII));
+            });
+            discovery.put(node.name, node.dial(), block, "ready", 0);
+        }
+        int port = Integer.parseInt(System.getenv("REVIEW_LISTEN_PORT"));
+        listen = new InetSocketAddress("127.0.0.1", port);
+        Path firstFile = folder.resolve("first.json");
+        Path secondFile = folder.resolve("second.json");
+        int secondMgmt = Scheduler.freePort();
+        write(firstFile, port, discovery, Scheduler.freePort());
+        write(secondFile, port, discovery, secondMgmt);
+        Path shared = Files.createDirectories(folder.resolve("shared"));
+        Scheduler first = start("first", firstFile, shared);
+        if (!first.awaitPong(listen)) {
+            throw new NotRunException("the first process is not ready");
+        }
+        Thread.sleep(1_500);
+        if (trouble) {
+            Record.line("bad client: %s", exchange(9_999, "no volume"));
+        }
+        double start = Record.now();
+        Thread clients = new Thread(() -> sendAll(start));
+        clients.start();
+        Thread.sleep(1_000);
+        start("second", secondFile, shared);
+        long until = System.nanoTime() + 6_000_000_000L;
+        while (!status(secondMgmt).startsWith("ACK")) {
+            if (System.nanoTime() > until) {
+                throw new NotRunException("the second process has not said yes within 6 s");
+            }
+            Thread.sleep(50);
+        }
+        Record.say("the second process has said yes %.0f ms after the clients began", Record.now() - start);
+        first.signal("TERM");
+        if (!first.awaitEnd(KILL_AFTER_MS)) {
+            first.signal("KILL");
         }
-        byte[] found = store.objects.get(uri);
-        Record.line("server %s (shard %d) is asked for %s, an object of shard %d: %s", store.name, store.shard, uri,
-            shard(uri), found == null ? "not there" : "there");
-        return found == null ? Http.response(404, "Content-Type: application/xml\r\n",
-            "<Error><Code>NoSuchKey</Code></Error>".getBytes(StandardCharsets.UTF_8))
-            : Http.response(200, "ETag: \"1\"\r\n", found);
+        Record.line("the first process has ended");
+        clients.join();
+        Record.say("served %d, refused or failed %d, lost %d", served.get(), refusedOrFailed.get(), lost.get());
+        return lost.get() == 0;
     }
 
-    /** The shard of an object, as the gateway spreads them. */
-    private static int shard(String uri) {
-        CRC32 sum = new CRC32();
-        sum.update(uri.substring(1).getBytes(StandardCharsets.UTF_8));
-        return (int) (sum.getValue() % SHARDS);
+    private static void write(Path file, int port, Discovery discovery, int mgmt) throws IOException {
+        Platform.write(file, "127.0.0.1:" + port, discovery.text(), "127.0.0.1:" + mgmt, discovery.list(),
+            Platform.CLASSES.formatted("side_effect"), SHARDS, 3);
     }
 
-    @Override boolean run() throws Exception {
-        Store a = new Store("A", 0);
-        atSecond = new Store("B", 1);
-        ObjectNode first = new ObjectNode((method, uri, head, body, connection) -> answer(a, method, uri, body));
-        ObjectNode second = new ObjectNode((method, uri, head, body, connection) -> answer(atSecond, method, uri, body));
-        Store d = new Store("D", 1);
-        ObjectNode third = new ObjectNode((method, uri, head, body, connection) -> answer(d, method, uri, body));
-        Store e = new Store("E", 2);
-        Store f = new Store("F", 3);
-        ObjectNode fourth = new ObjectNode((method, uri, head, body, connection) -> answer(e, method, uri, body));
-        ObjectNode fifth = new ObjectNode((method, uri, head, body, connection) -> answer(f, method, uri, body));
-        String others = Gateway.endpoint(fourth.port(), 2, "HEALTHY") + "," + Gateway.endpoint(fifth.port(), 3, "HEALTHY");
-        Xds xds = new Xds(Gateway.assignment(Gateway.endpoint(first.port(), 0, "HEALTHY"),
-            Gateway.endpoint(second.port(), 1, "HEALTHY"), others));
-        int port = Scheduler.freePort();
-        listen = new InetSocketAddress("127.0.0.1", port);
-        Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, SHARDS, xds.section(), "");
-        Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
-        if (!gateway.awaitHttp(listen)) {
-            throw new NotRunException("the gateway is not ready");
+    private Scheduler start(String name, Path file, Path shared) throws IOException {
+        return new Scheduler(name, "", Map.of("GW_CONFIG", file.toString(), "GW_SOCKET_FD", "0", "TMPDIR",
+            shared.toString()), folder);
+    }
+
+    private static String status(int mgmt) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", mgmt), 500);
+            socket.setSoTimeout(1_000);
+            socket.getOutputStream().write("status\n".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
+        } catch (IOException e) {
+            return "";
         }
-        Thread.sleep(500);
-        for (int i = 0; i < OBJECTS; i++) {
-            if (call("PUT", "/crash-dumps/old-" + i, "old " + i).status() != 200) {
-                throw new NotRunException("an object was not stored");
+    }
+
+    private void sendAll(double start) {
+        List<Thread> requests = new ArrayList<>();
+        for (int i = 0; Record.now() < start + RUN_MS; i++) {
+            int number = i;
+            Thread request = new Thread(() -> send(number));
+            request.start();
+            requests.add(request);
+            try {
+                Thread.sleep(REQUEST_EVERY_MS);
+            } catch (InterruptedException e) {
+                return;
             }
         }
-        if (trouble) {
-            Store c = new Store("C", 0);
-            c.objects.putAll(a.objects);
-            d.objects.putAll(atSecond.objects);
-            atSecond = c;
-            xds.tell("2", Gateway.assignment(Gateway.endpoint(second.port(), 0, "HEALTHY"),
-                Gateway.endpoint(third.port(), 1, "HEALTHY"), others));
-        }
-        Thread.sleep(2000);
-        int wrong = 0;
-        int refused = 0;
-        for (int round = 0; round < 2; round++) {
-            for (int i = 0; i < OBJECTS; i++) {
-                Http.Response read = call("GET", "/crash-dumps/old-" + i, null);
-                if (read.status() == 404 || read.status() == 200 && !read.text().equals("old " + i)) {
-                    Record.say("GET old-%d: %d, but the object was stored and never deleted", i, read.status());
-                    wrong++;
-                } else if (read.status() != 200) {
-                    refused++;
-                }
-                call("PUT", "/crash-dumps/new-" + i, "new " + i);
+        for (Thread request : requests) {
+            try {
+                request.join();
+            } catch (InterruptedException e) {
+                return;
             }
         }
-        for (Store store : new Store[] {a, atSecond, d, e, f}) {
-            for (String uri : store.objects.keySet()) {
-                if (shard(uri) != store.shard) {
-                    Record.say("%s was stored by server %s, which does not hold its shard", uri, store.name);
-                    wrong++;
-                }
+    }
+
+    /** Sends one request; should its connection end unread, once more on a new one. */
+    private void send(int number) {
+        double at = Record.now();
+        for (int attempt = 0; attempt < 2; attempt++) {
+            try {
+                String answer = exchange(number, "00000003b4d6002" + number % 8);
+                double took = Record.now() - at;
+                Record.line("request %d: %s after %.0f ms", number, answer, took);
+                (took > DEADLINE_MS + LATE_MS ? lost : answer.startsWith("$") ? served : refusedOrFailed).incrementAndGet();
+                return;
+            } catch (SocketTimeoutException e) {
+                Record.line("request %d: LOST, its last byte was written %.0f ms ago and there is no answer", number,
+                    Record.now() - at);
+                lost.incrementAndGet();
+                return;
+            } catch (IOException e) {
+                Record.line("request %d: %s", number, e);
             }
         }
-        Record.say("wrong answers and misplaced objects %d, refused %d", wrong, refused);
-        return wrong == 0;
+        refusedOrFailed.incrementAndGet();
     }
 
-    private Http.Response call(String method, String uri, String body) throws IOException {
+    private String exchange(int number, String volume) throws IOException {
+        String id = HexFormat.of().toHexDigits(70_000L + number);
         try (Socket socket = new Socket()) {
-            socket.connect(listen);
-            socket.setSoTimeout(10_000);
-            String length = body == null ? "" : "Content-Length: " + body.length() + "\r\n";
-            socket.getOutputStream().write((method + " " + uri + " HTTP/1.1\r\nHost: dumps\r\n" + length + "\r\n"
-                + (body == null ? "" : body)).getBytes(StandardCharsets.US_ASCII));
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            Http.Response response = Http.readResponse(in);
-            Record.line("client: %s %s: %d", method, uri, response.status());
-            return response;
+            socket.connect(listen, 1_000);
+            socket.setSoTimeout(DEADLINE_MS + LATE_MS);
+            socket.getOutputStream().write(Resp.command("OBJ.GET", id, id, "c=report-read,t=basico,d=" + DEADLINE_MS
+                + ",volume=" + volume + ",units=1,shard=" + number % SHARDS + ",hosts=1"));
+            return Resp.readAnswer(new BufferedInputStream(socket.getInputStream()));
         }
     }
 }
--- a/review/src-2/review2/Case9.java
+++ b/review/src-2/review2/Case9.java
@@ -7,30 +7,32 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.zip.CRC32;
 
 /**
- * One object server of six hangs in the middle of its work for some seconds: it has sent the heads of its answers, and goes
- * on afterwards. Clients read small objects, one after the other.
+ * Four object servers hold a shard each. Two of them are replaced: server C comes for shard 0 at the address that server B
+ * had, and server D for shard 1 at a new one. Clients go on storing and reading objects.
  */
 final class Case9 extends Case {
-    private static final int SHARDS = 6;
-    private static final int HANG_MS = 8_000;
-    private static final int OBJECT_BYTES = 1_000;
-    /** The deadline of the class dump-read. */
-    private static final int DEADLINE_MS = 1_200;
-    /** Half a second after its time a request is lost; every time limit is 50 ms longer. */
-    private static final int LATE_MS = 550;
-    private static final int RUN_MS = 12_000;
+    private static final int SHARDS = 4;
+    private static final int OBJECTS = 24;
 
-    private final AtomicInteger served = new AtomicInteger();
-    private final AtomicInteger refusedOrFailed = new AtomicInteger();
-    private final AtomicInteger lost = new AtomicInteger();
-    private volatile double hangsUntil;
+    /** An object server's store: the objects of its shard, by path. */
+    private static final class Store {
+        final String name;
+        final int shard;
+        final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+
+        Store(String name, int shard) {
+            this.name = name;
+            this.shard = shard;
+        }
+    }
+
+    /** What answers at the second address; replaced with its machine. */
+    private volatile Store atSecond;
     private InetSocketAddress listen;
 
     Case9() throws IOException {}
@@ -39,27 +41,18 @@
         main(new Case9(), arguments);
     }
 
-    private byte[] answer(int shard, String uri, Socket connection) throws Exception {
-        byte[] content = content(uri);
-        Thread.sleep(5);
-        byte[] head = ("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: " + content.length + "\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII);
-        double hang = shard == 0 ? hangsUntil - Record.now() : 0;
-        if (hang > 0) {
-            connection.getOutputStream().write(head);
-            Record.line("server 0 has sent the head of %s and hangs", uri);
-            Thread.sleep((long) hang);
-            connection.getOutputStream().write(content);
-            return null;
+    private static byte[] answer(Store store, String method, String uri, byte[] body) {
+        if (method.equals("PUT")) {
+            store.objects.put(uri, body);
+            Record.line("server %s (shard %d) stores %s, an object of shard %d", store.name, store.shard, uri, shard(uri));
+            return Http.response(200, "ETag: \"1\"\r\n", new byte[0]);
         }
-        byte[] all = new byte[head.length + content.length];
-        System.arraycopy(head, 0, all, 0, head.length);
-        System.arraycopy(content, 0, all, head.length, content.length);
-        return all;
-    }
-
-    private static byte[] content(String uri) {
-        return uri.repeat(1 + OBJECT_BYTES / uri.length()).substring(0, OBJECT_BYTES).getBytes(StandardCharsets.US_ASCII);
+        byte[] found = store.objects.get(uri);
+        Record.line("server %s (shard %d) is asked for %s, an object of shard %d: %s", store.name, store.shard, uri,
+            shard(uri), found == null ? "not there" : "there");
+        return found == null ? Http.response(404, "Content-Type: application/xml\r\n",
+            "<Error><Code>NoSuchKey</Code></Error>".getBytes(StandardCharsets.UTF_8))
+            : Http.response(200, "ETag: \"1\"\r\n", found);
     }
 
     /** The shard of an object, as the gateway spreads them. */
@@ -70,74 +63,79 @@
     }
 
     @Override boolean run() throws Exception {
-        String[] endpoints = new String[SHARDS];
-        for (int shard = 0; shard < SHARDS; shard++) {
-            int own = shard;
-            ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(own, uri, connection));
-            endpoints[shard] = Gateway.endpoint(node.port(), shard, "HEALTHY");
-        }
+        Store a = new Store("A", 0);
+        atSecond = new Store("B", 1);
+        ObjectNode first = new ObjectNode((method, uri, head, body, connection) -> answer(a, method, uri, body));
+        ObjectNode second = new ObjectNode((method, uri, head, body, connection) -> answer(atSecond, method, uri, body));
+        Store d = new Store("D", 1);
+        ObjectNode third = new ObjectNode((method, uri, head, body, connection) -> answer(d, method, uri, body));
+        Store e = new Store("E", 2);
+        Store f = new Store("F", 3);
+        ObjectNode fourth = new ObjectNode((method, uri, head, body, connection) -> answer(e, method, uri, body));
+        ObjectNode fifth = new ObjectNode((method, uri, head, body, connection) -> answer(f, method, uri, body));
+        String others = Gateway.endpoint(fourth.port(), 2, "HEALTHY") + "," + Gateway.endpoint(fifth.port(), 3, "HEALTHY");
+        Xds xds = new Xds(Gateway.assignment(Gateway.endpoint(first.port(), 0, "HEALTHY"),
+            Gateway.endpoint(second.port(), 1, "HEALTHY"), others));
         int port = Scheduler.freePort();
         listen = new InetSocketAddress("127.0.0.1", port);
         Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, SHARDS, Gateway.inline(endpoints), "");
+        Gateway.write(config, "127.0.0.1:" + port, SHARDS, xds.section(), "");
         Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
         if (!gateway.awaitHttp(listen)) {
             throw new NotRunException("the gateway is not ready");
         }
         Thread.sleep(500);
-        double start = Record.now();
-        if (trouble) {
-            hangsUntil = start + 2_000 + HANG_MS;
+        for (int i = 0; i < OBJECTS; i++) {
+            if (call("PUT", "/crash-dumps/old-" + i, "old " + i).status() != 200) {
+                throw new NotRunException("an object was not stored");
+            }
         }
-        List<Thread> clients = new ArrayList<>();
-        for (int shard = 0; shard < SHARDS; shard++) {
-            int wanted = shard;
-            double first = trouble && shard == 0 ? start + 2_000 : start;
-            Thread client = new Thread(() -> read(wanted, first, start + RUN_MS));
-            client.start();
-            clients.add(client);
+        if (trouble) {
+            Store c = new Store("C", 0);
+            c.objects.putAll(a.objects);
+            d.objects.putAll(atSecond.objects);
+            atSecond = c;
+            xds.tell("2", Gateway.assignment(Gateway.endpoint(second.port(), 0, "HEALTHY"),
+                Gateway.endpoint(third.port(), 1, "HEALTHY"), others));
         }
-        for (Thread client : clients) {
-            client.join();
+        Thread.sleep(2000);
+        int wrong = 0;
+        int refused = 0;
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < OBJECTS; i++) {
+                Http.Response read = call("GET", "/crash-dumps/old-" + i, null);
+                if (read.status() == 404 || read.status() == 200 && !read.text().equals("old " + i)) {
+                    Record.say("GET old-%d: %d, but the object was stored and never deleted", i, read.status());
+                    wrong++;
+                } else if (read.status() != 200) {
+                    refused++;
+                }
+                call("PUT", "/crash-dumps/new-" + i, "new " + i);
+            }
         }
-        Record.say("served %d, refused or failed %d, lost %d", served.get(), refusedOrFailed.get(), lost.get());
-        return lost.get() == 0;
-    }
-
-    /** Reads objects of one shard, a request every 250 ms at most. */
-    private void read(int shard, double first, double until) {
-        try {
-            Thread.sleep((long) Math.max(0, first - Record.now()));
-            for (int i = 0; Record.now() < until; i++) {
-                String uri = "/crash-dumps/dump-" + i;
-                if (shard(uri) == shard) {
-                    read(uri);
-                    Thread.sleep(250);
+        for (Store store : new Store[] {a, atSecond, d, e, f}) {
+            for (String uri : store.objects.keySet()) {
+                if (shard(uri) != store.shard) {
+                    Record.say("%s was stored by server %s, which does not hold its shard", uri, store.name);
+                    wrong++;
                 }
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
+        Record.say("wrong answers and misplaced objects %d, refused %d", wrong, refused);
+        return wrong == 0;
     }
 
-    private void read(String uri) {
-        double at = Record.now();
-        String outcome;
+    private Http.Response call(String method, String uri, String body) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(listen);
-            socket.setSoTimeout(DEADLINE_MS + LATE_MS);
-            socket.getOutputStream().write(("GET " + uri + " HTTP/1.1\r\nHost: dumps\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
+            socket.setSoTimeout(10_000);
+            String length = body == null ? "" : "Content-Length: " + body.length() + "\r\n";
+            socket.getOutputStream().write((method + " " + uri + " HTTP/1.1\r\nHost: dumps\r\n" + length + "\r\n"
+                + (body == null ? "" : body)).getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Http.Response response = Http.readResponse(in);
-            outcome = response.status() + " after " + (long) (Record.now() - at) + " ms";
-            boolean late = Record.now() - at > DEADLINE_MS + LATE_MS;
-            (late ? lost : response.status() == 200 ? served : refusedOrFailed).incrementAndGet();
-        } catch (IOException e) {
-            lost.incrementAndGet();
-            outcome = "LOST, no byte of an answer " + (long) (Record.now() - at) + " ms after the request: " + e;
-            System.out.println(uri + ": " + outcome);
+            Record.line("client: %s %s: %d", method, uri, response.status());
+            return response;
         }
-        Record.line("GET %s (shard %d): %s", uri, shard(uri), outcome);
     }
 }
