--- a/review/src-2/review2/Case8.java
+++ b/review/src-2/review2/Case8.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * An object server hangs in the middle of storing the last part of an upload. For a while it turns other writes away, then it
+ * One object server of six hangs in the middle of storing the last part of an upload. For a while it turns other writes away, then it
  * serves them; the one that hangs goes on later. The client wants to give the upload up and is turned away, so it goes on with
  * the upload and sends the part again.
  */
@@ -38,7 +38,9 @@
     private final Map<String, Upload> uploads = new ConcurrentHashMap<>();
     private final AtomicInteger created = new AtomicInteger();
     private volatile String hangsAt;
-    private volatile double busyUntil;
+    private static final int SERVERS = 6;
+    /** By server, until when it turns writes away. */
+    private final double[] busyUntil = new double[SERVERS];
     private InetSocketAddress listen;
 
     Case8() throws IOException {}
@@ -62,11 +64,13 @@
         return Http.response(200, "Content-Type: application/xml\r\n", text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private byte[] answer(String method, String uri, byte[] body) throws Exception {
+    private byte[] answer(int server, String method, String uri, byte[] body) throws Exception {
         Thread.sleep(5);
-        if (!method.equals("GET") && Record.now() < busyUntil) {
-            Record.line("the server turns %s %s away: 503", method, uri);
-            return Http.response(503, "", new byte[0]);
+        synchronized (busyUntil) {
+            if (!method.equals("GET") && Record.now() < busyUntil[server]) {
+                Record.line("server %d turns %s %s away: 503", server, method, uri);
+                return Http.response(503, "", new byte[0]);
+            }
         }
         if (uri.endsWith("?uploads")) {
             String id = "u" + created.incrementAndGet();
@@ -80,7 +84,7 @@
         }
         return switch (method) {
             case "GET" -> list(upload, uri);
-            case "PUT" -> store(id, upload, Integer.parseInt(parameter(uri, "partNumber")), body);
+            case "PUT" -> store(server, id, upload, Integer.parseInt(parameter(uri, "partNumber")), body);
             case "DELETE" -> {
                 uploads.remove(id);
                 Record.line("the server aborts %s", id);
@@ -111,17 +115,19 @@
         return xml(text.append("</ListPartsResult>").toString());
     }
 
-    private byte[] store(String id, Upload upload, int part, byte[] body) throws Exception {
+    private byte[] store(int server, String id, Upload upload, int part, byte[] body) throws Exception {
         if ((id + "#" + part).equals(hangsAt)) {
             hangsAt = null;
-            busyUntil = Record.now() + BUSY_MS;
-            Record.line("the server has read part %d of %s and hangs", part, id);
+            synchronized (busyUntil) {
+                busyUntil[server] = Record.now() + BUSY_MS;
+            }
+            Record.line("server %d has read part %d of %s and hangs", server, part, id);
             Thread.sleep(HANG_MS);
         }
         synchronized (upload) {
             upload.parts.put(part, body);
             int times = upload.stored.merge(part, 1, Integer::sum);
-            Record.line("the server stores part %d of %s, time %d", part, id, times);
+            Record.line("server %d stores part %d of %s, time %d", server, part, id, times);
         }
         return Http.response(200, "ETag: " + tag(body) + "\r\n", new byte[0]);
     }
@@ -133,11 +139,16 @@
     // ---------------------------------------------------------------- the client
 
     @Override boolean run() throws Exception {
-        ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(method, uri, body));
+        String[] endpoints = new String[SERVERS];
+        for (int i = 0; i < SERVERS; i++) {
+            int server = i;
+            ObjectNode node = new ObjectNode((method, uri, head, body, connection) -> answer(server, method, uri, body));
+            endpoints[i] = Gateway.endpoint(node.port(), i, "HEALTHY");
+        }
         int port = Scheduler.freePort();
         listen = new InetSocketAddress("127.0.0.1", port);
         Path config = folder.resolve("objects.json");
-        Gateway.write(config, "127.0.0.1:" + port, 1, Gateway.inline(Gateway.endpoint(node.port(), 0, "HEALTHY")), "");
+        Gateway.write(config, "127.0.0.1:" + port, SERVERS, Gateway.inline(endpoints), "");
         Scheduler gateway = new Scheduler("gateway", " --config " + config, Map.of(), folder);
         if (!gateway.awaitHttp(listen)) {
             throw new NotRunException("the gateway is not ready");
