Review: share the stand-ins' listener and the frame of upgrade cases

Cause: four stand-ins and two cases held the same lines; an exception while a case is made ended with 1 in place of 2. Change: Listener, UpgradeCase, and Case.main that makes the case itself; what the cases do is unchanged.

--- a/review/src-2/review2/Case.java
+++ b/review/src-2/review2/Case.java
@@ -9,6 +9,8 @@
 
 /** What all cases share: the record, the temporary folder, the processes and the exit code. */
 abstract class Case {
+    private static final long LONGEST_MS = 115_000;
+
     /** Whether the disruption takes place. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Path folder;
@@ -29,13 +31,35 @@
         }
     }
 
+    /** Creates a case. */
+    interface Factory {
+        Case create() throws Exception;
+    }
+
     /** Runs a case with the record file as the only argument, and ends with its exit code. */
-    static void main(Case started, String[] arguments) {
-        Record.open(Path.of(arguments[0]));
-        Record.line("TROUBLE=%s", started.trouble ? "1" : "0");
+    static void main(Factory factory, String[] arguments) {
+        Case started = null;
+        int code;
+        try {
+            Record.open(Path.of(arguments[0]));
+            started = factory.create();
+            Record.line("TROUBLE=%s", started.trouble ? "1" : "0");
+            endLater(started);
+            boolean held = started.run();
+            Record.say(held ? "the rule held" : "THE RULE WAS BROKEN");
+            code = held ? 0 : 1;
+        } catch (Throwable e) {
+            System.out.println("the case could not run: " + e);
+            code = 2;
+        }
+        end(started, code);
+    }
+
+    /** Ends a case that takes too long. */
+    private static void endLater(Case started) {
         Thread limit = new Thread(() -> {
             try {
-                Thread.sleep(115_000);
+                Thread.sleep(LONGEST_MS);
                 Record.say("the case takes too long: it could not run");
                 end(started, 2);
             } catch (InterruptedException e) {
@@ -44,20 +68,18 @@
         });
         limit.setDaemon(true);
         limit.start();
-        int code;
-        try {
-            boolean held = started.run();
-            Record.say(held ? "the rule held" : "THE RULE WAS BROKEN");
-            code = held ? 0 : 1;
-        } catch (Exception e) {
-            Record.say("the case could not run: %s", e);
-            code = 2;
-        }
-        end(started, code);
     }
 
     private static synchronized void end(Case started, int code) {
         Scheduler.killAll();
+        if (started != null) {
+            clear(started);
+        }
+        Runtime.getRuntime().halt(code);
+    }
+
+    /** Copies the ends of the logs to the record, and removes the folder. */
+    private static void clear(Case started) {
         try (Stream<Path> files = Files.walk(started.folder)) {
             List<Path> all = files.sorted(Comparator.reverseOrder()).toList();
             for (Path log : all) {
@@ -78,6 +100,5 @@
         } catch (IOException e) {
             Record.line("folder not removed: %s", e);
         }
-        Runtime.getRuntime().halt(code);
     }
 }
--- a/review/src-2/review2/Case10.java
+++ b/review/src-2/review2/Case10.java
@@ -3,42 +3,33 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A class with a longer deadline appears by SIGHUP; later the process is replaced while a storage node hangs. Descriptor 0 of
- * this process is the clients' listening socket, as the platform holds it.
+ * A class with a longer deadline appears by SIGHUP; later the process is replaced while a storage node hangs.
  */
-final class Case10 extends Case {
-    private static final int SHARDS = 4;
+final class Case10 extends UpgradeCase {
     private static final int REQUESTS = 3;
-    /** The longest deadline, counted as 3 s at most, and 0.7 s. */
-    private static final long KILL_AFTER_MS = 3_700;
     private static final String SHORT_CLASSES = """
         [{"aim": 250.0, "deadline": 1200.0, "dedup_scope": "all", "effect": "pure", "late_share": 0.2, "name": "report-read",
           "streaming": false, "window": 5000.0, "worth": 2.0}]""";
 
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
-    private InetSocketAddress listen;
 
     Case10() throws IOException {}
 
     public static void main(String[] arguments) throws Exception {
-        main(new Case10(), arguments);
+        main(Case10::new, arguments);
     }
 
     @Override boolean run() throws Exception {
-        Discovery discovery = new Discovery();
         for (int block = 0; block < SHARDS; block++) {
             RespNode node = new RespNode("s-" + block, block, (self, command, connection) -> {
                 Record.line("%s takes %s%s", self.name, command[2], self.block == 0 ? " and does not answer" : "");
@@ -46,23 +37,20 @@
             });
             discovery.put(node.name, node.dial(), block, "ready", 0);
         }
-        int port = Integer.parseInt(System.getenv("REVIEW_LISTEN_PORT"));
-        listen = new InetSocketAddress("127.0.0.1", port);
         String all = Platform.CLASSES.formatted("side_effect");
         Path firstFile = folder.resolve("first.json");
         Path secondFile = folder.resolve("second.json");
         int firstMgmt = Scheduler.freePort();
         int secondMgmt = Scheduler.freePort();
-        write(firstFile, port, discovery, firstMgmt, trouble ? SHORT_CLASSES : all);
-        write(secondFile, port, discovery, secondMgmt, all);
-        Path shared = Files.createDirectories(folder.resolve("shared"));
-        Scheduler first = start("first", firstFile, shared);
+        write(firstFile, firstMgmt, trouble ? SHORT_CLASSES : all);
+        write(secondFile, secondMgmt, all);
+        Scheduler first = start("first", firstFile);
         if (!first.awaitPong(listen)) {
             throw new NotRunException("the first process is not ready");
         }
         Thread.sleep(1_500);
         if (trouble) {
-            write(firstFile, port, discovery, firstMgmt, all);
+            write(firstFile, firstMgmt, all);
             Record.line("the file now names bulk-export too, with a deadline of 5 s");
             first.signal("HUP");
             Thread.sleep(2_500);
@@ -78,14 +66,8 @@
                 throw new NotRunException("bulk-export is not served");
             }
         }
-        second = start("second", secondFile, shared);
-        long until = System.nanoTime() + 6_000_000_000L;
-        while (!status(secondMgmt).startsWith("ACK")) {
-            if (System.nanoTime() > until) {
-                throw new NotRunException("the second process has not said yes within 6 s");
-            }
-            Thread.sleep(50);
-        }
+        second = start("second", secondFile);
+        awaitYes(secondMgmt);
         Record.line("the second process has said yes");
         for (int i = 0; i < REQUESTS; i++) {
             ask(sockets[i], i, 0, "bulk-export", 5_000);
@@ -108,26 +90,6 @@
         return lost.get() == 0;
     }
 
-    private static void write(Path file, int port, Discovery discovery, int mgmt, String classes) throws IOException {
-        Platform.write(file, "127.0.0.1:" + port, discovery.text(), "127.0.0.1:" + mgmt, discovery.list(), classes, SHARDS, 3);
-    }
-
-    private Scheduler start(String name, Path file, Path shared) throws IOException {
-        return new Scheduler(name, "", Map.of("GW_CONFIG", file.toString(), "GW_SOCKET_FD", "0", "TMPDIR",
-            shared.toString()), folder);
-    }
-
-    private static String status(int mgmt) {
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress("127.0.0.1", mgmt), 500);
-            socket.setSoTimeout(1_000);
-            socket.getOutputStream().write("status\n".getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
     private static String id(int number) {
         return HexFormat.of().toHexDigits(5_000L + number);
     }
--- a/review/src-2/review2/Case6.java
+++ b/review/src-2/review2/Case6.java
@@ -1,6 +1,7 @@
 package review2;
 
 import java.io.BufferedInputStream;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -37,10 +38,10 @@
     private final AtomicInteger lost = new AtomicInteger();
     private InetSocketAddress listen;
 
-    Case6() throws java.io.IOException {}
+    Case6() throws IOException {}
 
     public static void main(String[] arguments) throws Exception {
-        main(new Case6(), arguments);
+        main(Case6::new, arguments);
     }
 
     @Override boolean run() throws Exception {
@@ -158,7 +159,7 @@
                 socket.getOutputStream().write(read(id, false, 1 + i % (SHARDS - 1)));
                 try {
                     answered(request, Resp.readAnswer(in), 0);
-                } catch (java.io.IOException e) {
+                } catch (IOException e) {
                     Record.line("%s: usual client: %s: lost", id, e);
                     lost.incrementAndGet();
                     return;
--- a/review/src-2/review2/Case7.java
+++ b/review/src-2/review2/Case7.java
@@ -2,27 +2,20 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * The process is replaced some seconds after a bad client has sent one request whose volume is not 16 hex digits. Usual clients
- * send requests on new connections all the time. Descriptor 0 of this process is the clients' listening socket, as the platform
- * holds it.
+ * send requests on new connections all the time.
  */
-final class Case7 extends Case {
-    private static final int SHARDS = 4;
-    /** The longest deadline, counted as 3 s at most, and 0.7 s. */
-    private static final long KILL_AFTER_MS = 3_700;
+final class Case7 extends UpgradeCase {
     private static final int DEADLINE_MS = 1_200;
     /** Half a second after its time a request is lost; every time limit is 50 ms longer. */
     private static final int LATE_MS = 550;
@@ -32,16 +25,14 @@
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger refusedOrFailed = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
-    private InetSocketAddress listen;
 
     Case7() throws IOException {}
 
     public static void main(String[] arguments) throws Exception {
-        main(new Case7(), arguments);
+        main(Case7::new, arguments);
     }
 
     @Override boolean run() throws Exception {
-        Discovery discovery = new Discovery();
         for (int block = 0; block < SHARDS; block++) {
             RespNode node = new RespNode("s-" + block, block, (self, command, connection) -> {
                 Thread.sleep(4);
@@ -49,15 +40,13 @@
             });
             discovery.put(node.name, node.dial(), block, "ready", 0);
         }
-        int port = Integer.parseInt(System.getenv("REVIEW_LISTEN_PORT"));
-        listen = new InetSocketAddress("127.0.0.1", port);
         Path firstFile = folder.resolve("first.json");
         Path secondFile = folder.resolve("second.json");
         int secondMgmt = Scheduler.freePort();
-        write(firstFile, port, discovery, Scheduler.freePort());
-        write(secondFile, port, discovery, secondMgmt);
-        Path shared = Files.createDirectories(folder.resolve("shared"));
-        Scheduler first = start("first", firstFile, shared);
+        String classes = Platform.CLASSES.formatted("side_effect");
+        write(firstFile, Scheduler.freePort(), classes);
+        write(secondFile, secondMgmt, classes);
+        Scheduler first = start("first", firstFile);
         if (!first.awaitPong(listen)) {
             throw new NotRunException("the first process is not ready");
         }
@@ -69,14 +58,8 @@
         Thread clients = new Thread(() -> sendAll(start));
         clients.start();
         Thread.sleep(1_000);
-        start("second", secondFile, shared);
-        long until = System.nanoTime() + 6_000_000_000L;
-        while (!status(secondMgmt).startsWith("ACK")) {
-            if (System.nanoTime() > until) {
-                throw new NotRunException("the second process has not said yes within 6 s");
-            }
-            Thread.sleep(50);
-        }
+        start("second", secondFile);
+        awaitYes(secondMgmt);
         Record.say("the second process has said yes %.0f ms after the clients began", Record.now() - start);
         first.signal("TERM");
         if (!first.awaitEnd(KILL_AFTER_MS)) {
@@ -88,27 +71,6 @@
         return lost.get() == 0;
     }
 
-    private static void write(Path file, int port, Discovery discovery, int mgmt) throws IOException {
-        Platform.write(file, "127.0.0.1:" + port, discovery.text(), "127.0.0.1:" + mgmt, discovery.list(),
-            Platform.CLASSES.formatted("side_effect"), SHARDS, 3);
-    }
-
-    private Scheduler start(String name, Path file, Path shared) throws IOException {
-        return new Scheduler(name, "", Map.of("GW_CONFIG", file.toString(), "GW_SOCKET_FD", "0", "TMPDIR",
-            shared.toString()), folder);
-    }
-
-    private static String status(int mgmt) {
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress("127.0.0.1", mgmt), 500);
-            socket.setSoTimeout(1_000);
-            socket.getOutputStream().write("status\n".getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
     private void sendAll(double start) {
         List<Thread> requests = new ArrayList<>();
         for (int i = 0; Record.now() < start + RUN_MS; i++) {
--- a/review/src-2/review2/Case8.java
+++ b/review/src-2/review2/Case8.java
@@ -46,7 +46,7 @@
     Case8() throws IOException {}
 
     public static void main(String[] arguments) throws Exception {
-        main(new Case8(), arguments);
+        main(Case8::new, arguments);
     }
 
     // ---------------------------------------------------------------- the server
--- a/review/src-2/review2/Case9.java
+++ b/review/src-2/review2/Case9.java
@@ -38,7 +38,7 @@
     Case9() throws IOException {}
 
     public static void main(String[] arguments) throws Exception {
-        main(new Case9(), arguments);
+        main(Case9::new, arguments);
     }
 
     private static byte[] answer(Store store, String method, String uri, byte[] body) {
--- a/review/src-2/review2/Discovery.java
+++ b/review/src-2/review2/Discovery.java
@@ -3,9 +3,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -17,24 +14,17 @@
 /** The platform's discovery: the whole list, and watches on changes. */
 final class Discovery {
     private static final Pattern WATCH = Pattern.compile("index=(-?\\d+)&wait=(\\d+)");
-    private final ServerSocket listener;
+    private final Listener listener;
     private final Map<String, String> entries = new LinkedHashMap<>();
     private final Map<String, Long> changed = new LinkedHashMap<>();
     private long version = 1;
 
     Discovery() throws IOException {
-        listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::accept, "discovery");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    InetSocketAddress address() {
-        return (InetSocketAddress) listener.getLocalSocketAddress();
+        listener = new Listener("discovery", this::serve);
     }
 
     String text() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return listener.text();
     }
 
     /** Tells of a storage node, or of a change to it. */
@@ -61,37 +51,15 @@
         return "{\"seq\":" + version + ",\"whole\":" + (after < 0) + ",\"hosts\":" + rows + "}";
     }
 
-    private void accept() {
-        while (true) {
-            try {
-                Socket socket = listener.accept();
-                Thread thread = new Thread(() -> serve(socket), "discovery call");
-                thread.setDaemon(true);
-                thread.start();
-            } catch (IOException e) {
-                return;
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            String first;
-            while ((first = in.readLine()) != null) {
-                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-                    // a header
-                }
-                byte[] body = answer(first).getBytes(StandardCharsets.UTF_8);
-                String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n";
-                byte[] all = new byte[head.length() + body.length];
-                System.arraycopy(head.getBytes(StandardCharsets.US_ASCII), 0, all, 0, head.length());
-                System.arraycopy(body, 0, all, head.length(), body.length);
-                socket.getOutputStream().write(all);
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        String first;
+        while ((first = in.readLine()) != null) {
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                // a header
             }
-        } catch (IOException | InterruptedException e) {
-            // the caller has gone
+            socket.getOutputStream().write(Http.response(200, "Content-Type: application/json\r\n",
+                answer(first).getBytes(StandardCharsets.UTF_8)));
         }
     }
 
--- a/review/src-2/review2/ObjectNode.java
+++ b/review/src-2/review2/ObjectNode.java
@@ -3,8 +3,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -16,52 +14,31 @@
         byte[] answer(String method, String uri, Http.Head head, byte[] body, Socket connection) throws Exception;
     }
 
-    private final ServerSocket listener;
+    private final Listener listener;
     private final Handler handler;
 
     ObjectNode(Handler handler) throws IOException {
         this.handler = handler;
-        listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::accept, "node");
-        thread.setDaemon(true);
-        thread.start();
+        listener = new Listener("object server", this::serve);
     }
 
     int port() {
-        return listener.getLocalPort();
+        return listener.port();
     }
 
-    private void accept() {
-        while (true) {
-            try {
-                Socket socket = listener.accept();
-                Thread thread = new Thread(() -> serve(socket), "node connection");
-                thread.setDaemon(true);
-                thread.start();
-            } catch (IOException e) {
-                return;
+    private void serve(Socket socket) throws Exception {
+        InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
+        Http.Head head;
+        while ((head = Http.readHead(in)) != null) {
+            if ("100-continue".equals(head.field("expect"))) {
+                socket.getOutputStream().write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
-            Http.Head head;
-            while ((head = Http.readHead(in)) != null) {
-                if ("100-continue".equals(head.field("expect"))) {
-                    socket.getOutputStream().write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-                }
-                byte[] body = Http.readBody(in, Math.max(0, head.length()));
-                String[] words = head.first().split(" ");
-                byte[] answer = handler.answer(words[0], words[1], head, body, socket);
-                if (answer != null) {
-                    socket.getOutputStream().write(answer);
-                }
+            byte[] body = Http.readBody(in, Math.max(0, head.length()));
+            String[] words = head.first().split(" ");
+            byte[] answer = handler.answer(words[0], words[1], head, body, socket);
+            if (answer != null) {
+                socket.getOutputStream().write(answer);
             }
-        } catch (Exception e) {
-            // the gateway has closed the connection
         }
     }
 }
--- a/review/src-2/review2/RespNode.java
+++ b/review/src-2/review2/RespNode.java
@@ -3,11 +3,8 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** A storage node of the platform. What it does with a command is the case's own. */
 final class RespNode {
@@ -19,22 +16,18 @@
 
     final String name;
     final int block;
-    final AtomicInteger received = new AtomicInteger();
-    private final ServerSocket listener;
+    private final Listener listener;
     private final Handler handler;
 
     RespNode(String name, int block, Handler handler) throws IOException {
         this.name = name;
         this.block = block;
         this.handler = handler;
-        listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::accept, name);
-        thread.setDaemon(true);
-        thread.start();
+        listener = new Listener(name, this::serve);
     }
 
     String dial() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return listener.text();
     }
 
     /** The answer that serves a request with this value. */
@@ -49,33 +42,14 @@
         return all;
     }
 
-    private void accept() {
-        while (true) {
-            try {
-                Socket socket = listener.accept();
-                Thread thread = new Thread(() -> serve(socket), name + " connection");
-                thread.setDaemon(true);
-                thread.start();
-            } catch (IOException e) {
-                return;
+    private void serve(Socket socket) throws Exception {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        String[] command;
+        while ((command = Resp.readCommand(in)) != null) {
+            byte[] answer = handler.answer(this, command, socket);
+            if (answer != null) {
+                socket.getOutputStream().write(answer);
             }
         }
     }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            String[] command;
-            while ((command = Resp.readCommand(in)) != null) {
-                received.incrementAndGet();
-                byte[] answer = handler.answer(this, command, socket);
-                if (answer != null) {
-                    socket.getOutputStream().write(answer);
-                }
-            }
-        } catch (Exception e) {
-            // the scheduler has closed the connection
-        }
-    }
 }
