Front: the replies that a connection owes have a class of their own

Change: ReplyQueue owns the slots, their writing and the log's list of open ids; behaviour is unchanged. Result: the tests of streaming, eviction, shutdown and slow writers pass.

--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -1,7 +1,6 @@
 package kelphollow.protocol.resp;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SingleThreadEventLoop;
@@ -11,11 +10,9 @@
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import java.util.stream.Collectors;
 import kelphollow.decision.ControlEvent.RequestArrived;
 import kelphollow.routing.RequestRouter;
 import kelphollow.routing.Ticker;
@@ -57,7 +54,7 @@
     private final ConnectionActivity activity;
     private final CommandThrottle throttle;
     private final InboundPacer input;
-    private final ArrayDeque<ReplySlot> slots = new ArrayDeque<>();
+    private final ReplyQueue replies;
     private final CommandMemory memory;
     private final DecodedCommands decoded;
     /** Set once the input cannot be decoded any further; reported behind the commands that were decoded before. */
@@ -67,8 +64,6 @@
     private State state = State.SERVING;
     /** Whether commands are being handled; replies are flushed at the end of that. */
     private boolean handling;
-    private boolean unflushed;
-    private ChannelFuture lastWrite;
     private int openRequests;
     /** Why the connection is closed; null while it serves, or if the client closes it. */
     private CloseReason closeReason;
@@ -79,6 +74,7 @@
         this.intake = intake;
         this.ticker = ticker;
         this.channel = channel;
+        this.replies = new ReplyQueue(channel);
         this.activity = new ConnectionActivity(ticker);
         this.throttle = new CommandThrottle(ticker.now());
         this.input = new InboundPacer(this::inputRead);
@@ -97,11 +93,11 @@
 
     /** Whether no command awaits its reply and the last reply has been written to the socket. */
     boolean isIdle() {
-        return hasNoCommands() && (lastWrite == null || lastWrite.isDone());
+        return hasNoCommands() && replies.isWritten();
     }
 
     private boolean hasNoCommands() {
-        return slots.isEmpty() && decoded.isEmpty() && input.isEmpty() && inputFailure == null;
+        return replies.isEmpty() && decoded.isEmpty() && input.isEmpty() && inputFailure == null;
     }
 
     ConnectionActivity activity() {
@@ -229,7 +225,7 @@
     private void handle(DecodedCommands.Command command) {
         ReplySlot slot = addSlot();
         RedisMessage message = command.message();
-        if (slots.size() > MAX_PENDING_REPLIES) {
+        if (replies.size() > MAX_PENDING_REPLIES) {
             failConnection(slot, "ERR too many commands at once", CloseReason.TOO_MANY_COMMANDS);
             return;
         }
@@ -254,7 +250,7 @@
 
     private ReplySlot addSlot() {
         ReplySlot slot = new ReplySlot(this, intake, router);
-        slots.add(slot);
+        replies.add(slot);
         return slot;
     }
 
@@ -334,7 +330,7 @@
 
     /** Ends a connection whose client does not stop sending in a shutdown, unless replies are awaited. */
     void endInput() {
-        if (slots.isEmpty()) {
+        if (replies.isEmpty()) {
             close(CloseReason.SHUTDOWN);
         }
     }
@@ -375,7 +371,7 @@
     private void markClosed() {
         if (state != State.CLOSED) {
             front.log().closed(closeReason == null ? CloseReason.CLIENT_DISCONNECTED : closeReason, channel.remoteAddress(),
-                slots.stream().filter(ReplySlot::isOpen).map(ReplySlot::id).collect(Collectors.joining(" ")));
+                replies.openIds());
         }
         state = State.CLOSED;
         front.remove(this);
@@ -383,16 +379,12 @@
 
     /** Writes the replies that are next in order; while commands are being handled, they are flushed at the end of that. */
     void flushReplies() {
-        for (ReplySlot next; (next = slots.peek()) != null && next.isReady() && write(next);) {
-            slots.poll();
-        }
-        if (unflushed && !handling) {
-            unflushed = false;
-            channel.flush();
+        replies.writeReady();
+        if (!handling && replies.flush()) {
             activity.touch();
             front.markActive(this);
         }
-        if (state == State.CLOSING && slots.isEmpty()) {
+        if (state == State.CLOSING && replies.isEmpty()) {
             close(closeReason);
         } else if (state == State.SERVING && front.isShuttingDown() && hasNoCommands() && !handling) {
             closeForShutdown();
@@ -410,26 +402,9 @@
         }
     }
 
-    /** Writes a slot's reply. Returns false while its value is still streaming, which holds back the replies after it. */
-    private boolean write(ReplySlot slot) {
-        if (slot.value() == null) {
-            lastWrite = channel.write(slot.reply());
-            unflushed = true;
-            return true;
-        }
-        slot.value().streamTo(channel);
-        if (slot.isOpen()) {
-            return false;
-        }
-        lastWrite = slot.value().end();
-        return true;
-    }
-
     @Override public void channelWritabilityChanged(ChannelHandlerContext context) {
         updateReading();
-        if (!slots.isEmpty() && slots.peek().value() != null) {
-            slots.peek().value().progressed();
-        }
+        replies.writabilityChanged();
         if (channel.isWritable() && hasInput()) {
             scheduleTurn();
         }
@@ -441,8 +416,7 @@
         input.discard();
         front.commandEnded(this);
         memory.endIncomplete();
-        slots.forEach(ReplySlot::disconnected);
-        slots.clear();
+        replies.disconnected();
         front.checkShutdown();
     }
 
