Shutdown: wait for answers as long as the schedule in force gives them

Cause: the wait for open connections came from the longest deadline of the start, the time of the answers from the settings in force. Evidence: the process ended 2.0 s after SIGTERM, at 0 + 1.2 + 0.5 s of wait, its requests in flight by the nodes' record. Why it works: one record holds both times, and a reload replaces it whole.

--- a/src/main/java/kelphollow/program/GracefulShutdown.java
+++ b/src/main/java/kelphollow/program/GracefulShutdown.java
@@ -1,9 +1,8 @@
 package kelphollow.program;
 
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import kelphollow.routing.Invariant;
 import kelphollow.routing.RequestRouter;
@@ -11,19 +10,15 @@
 /** The shutdown hook for SIGTERM: drains the scheduler, writes the state that must survive, and exits with code 0. */
 final class GracefulShutdown {
     private static final Logger LOG = Logger.getLogger(GracefulShutdown.class.getName());
-    // In milliseconds. No request waits longer than the longest deadline; this is extra time for responses to slow readers.
-    private static final double SLOW_READER_GRACE_MS = 500;
 
     private final Scheduler scheduler;
     /** Null without a management address. */
     private final Management management;
-    private final double longestDeadline;
 
-    /** {@code longestDeadline} is the maximum over all classes, in milliseconds. */
-    GracefulShutdown(Scheduler scheduler, Management management, double longestDeadline) {
+    /** {@code management} may be null. */
+    GracefulShutdown(Scheduler scheduler, Management management) {
         this.scheduler = scheduler;
         this.management = management;
-        this.longestDeadline = longestDeadline;
     }
 
     /** Registers this as a JVM shutdown hook; returns the hook's thread, with which the hook can be removed. */
@@ -34,15 +29,7 @@
     }
 
     private void run() {
-        if (management != null) {
-            management.shutdownStarted();
-        }
-        CountDownLatch done = new CountDownLatch(1);
-        scheduler.shutDown(done::countDown);
-        if (management != null && scheduler.hasInheritedSocket()) {
-            handOverLimits();
-        }
-        boolean drained = await(done);
+        boolean drained = drain();
         LOG.info(scheduler.counters());
         if (drained) {
             scheduler.closeAfterShutdown();
@@ -54,6 +41,18 @@
         Runtime.getRuntime().halt(0);   // without it the exit code would be the signal's, which reports a failure
     }
 
+    /** Stops accepting and waits until all is answered and closed; returns false if connections stay open for too long. */
+    private boolean drain() {
+        if (management != null) {
+            management.shutdownStarted();
+        }
+        CompletableFuture<Boolean> drained = scheduler.drain();
+        if (management != null && scheduler.hasInheritedSocket()) {
+            handOverLimits();
+        }
+        return drained.join();
+    }
+
     /** A next process without this file knows that the limits are unknown to it once this process has ended. */
     private void handOverLimits() {
         try {
@@ -66,14 +65,4 @@
             LOG.warning("limits not handed over: " + e.getCause());
         }
     }
-
-    private boolean await(CountDownLatch done) {
-        try {
-            return done.await((long) (scheduler.acceptsFor() + longestDeadline + SLOW_READER_GRACE_MS),
-                TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
-    }
 }
--- a/src/main/java/kelphollow/program/ObjectScheduler.java
+++ b/src/main/java/kelphollow/program/ObjectScheduler.java
@@ -39,7 +39,8 @@
     private Fleet fleet;
 
     private ObjectScheduler(ObjectConfig config, EventLoop loop, Ticker ticker) {
-        super(loop, ticker, config.sockets(), ShutdownSchedule.GATEWAY);
+        super(loop, ticker, config.sockets(),
+            ShutdownSchedule.gateway(ShutdownSchedule.longestDeadline(config.settings().classes())));
     }
 
     /**
--- a/src/main/java/kelphollow/program/Scheduler.java
+++ b/src/main/java/kelphollow/program/Scheduler.java
@@ -22,6 +22,8 @@
  */
 abstract sealed class Scheduler permits PlatformScheduler, ObjectScheduler {
     private static final long COUNTERS_TIMEOUT_MS = 100;
+    // Extra time for answers to clients that are slow to read.
+    private static final double SLOW_READER_GRACE_MS = 500;
 
     private final EventLoop loop;
     private final Ticker ticker;
@@ -143,6 +145,26 @@
         });
     }
 
+    /** Shuts down; completes with whether all connections were closed before the wait for them ended. */
+    final CompletableFuture<Boolean> drain() {
+        CompletableFuture<Boolean> drained = new CompletableFuture<>();
+        shutDown(() -> drained.complete(true));
+        loop.execute(() -> endDrain(shutdown.waitFor(), drained));
+        return drained;
+    }
+
+    /** Ends the wait after {@code millis}, or later while a request is open that may have its answer at its own deadline. */
+    private void endDrain(double millis, CompletableFuture<Boolean> drained) {
+        ticker.after(millis, () -> {
+            double further = shutdown.answerWithin() < Double.POSITIVE_INFINITY ? 0 : router.latestDeadline() - ticker.now();
+            if (further > 0) {
+                endDrain(further, drained);
+            } else {
+                ticker.after(SLOW_READER_GRACE_MS, () -> drained.complete(false));
+            }
+        });
+    }
+
     /** Returns how long new connections are still accepted after the shutdown has started, in milliseconds. */
     final double acceptsFor() {
         return (hasInheritedSocket ? shutdown.acceptingNothing() : shutdown).acceptFor();
--- a/src/main/java/kelphollow/program/Serve.java
+++ b/src/main/java/kelphollow/program/Serve.java
@@ -33,7 +33,7 @@
 
     /** A scheduler that is started but does not listen yet, and the configuration that the rest of the start needs. */
     private record Started(Scheduler scheduler, InetSocketAddress address, PlatformConfig.Operations operations,
-                           double longestDeadline, Supplier<Path> maintenanceFile, ReloadSignal.Reload reload) {}
+                           Supplier<Path> maintenanceFile, ReloadSignal.Reload reload) {}
 
     @Option(name = "--config", metaVar = "FILE", usage = "serve the object API as this file says")
     private String file;
@@ -49,7 +49,7 @@
         Scheduler scheduler = started.scheduler();
         Management management = started.operations().management() == null ? null
             : startManagement(scheduler, started.operations(), started.maintenanceFile().get());
-        Thread shutdown = new GracefulShutdown(scheduler, management, started.longestDeadline()).register();
+        Thread shutdown = new GracefulShutdown(scheduler, management).register();
         Signal.handle(new Signal("TERM"), defaultTerm);
         InetSocketAddress address = null;
         try {
@@ -75,8 +75,7 @@
         ObjectScheduler scheduler = ObjectScheduler.start(config, loop, ticker);
         ObjectWarmup.run(config.settings(), config.options(), config.seed());
         return new Started(scheduler, config.listen(), new PlatformConfig.Operations(config.management(), false),
-            ShutdownSchedule.longestDeadline(config.settings().classes()), () -> MaintenanceFile.path(config.name()),
-            () -> scheduler.reload(ObjectConfig.read(file)));
+            () -> MaintenanceFile.path(config.name()), () -> scheduler.reload(ObjectConfig.read(file)));
     }
 
     private static Started startPlatform(EventLoop loop, WheelTicker ticker)
@@ -86,8 +85,7 @@
         PlatformScheduler scheduler = PlatformScheduler.start(config, loop, ticker);
         RespWarmup.run(config.settings(), config.seed());
         scheduler.awaitFirstResponse(DISCOVERY_TIMEOUT_MS);
-        return new Started(scheduler, config.listen(), config.operations(),
-            ShutdownSchedule.longestDeadline(config.settings().classes()), MaintenanceFile::path,
+        return new Started(scheduler, config.listen(), config.operations(), MaintenanceFile::path,
             () -> scheduler.reload(PlatformConfig.read(System.getenv())));
     }
 
--- a/src/main/java/kelphollow/routing/RequestLifecycle.java
+++ b/src/main/java/kelphollow/routing/RequestLifecycle.java
@@ -63,6 +63,12 @@
         return open.size();
     }
 
+    /** The latest deadline of an open request, or negative infinity. */
+    double latestDeadline() {
+        return open.values().stream().mapToDouble(request -> request.arrival().deadline()).max()
+            .orElse(Double.NEGATIVE_INFINITY);
+    }
+
     /** The client has disconnected: the request needs no response, and attempts in flight are cancelled. */
     void clientDisconnected(Request request) {
         if (request.isFinished()) {
--- a/src/main/java/kelphollow/routing/RequestRouter.java
+++ b/src/main/java/kelphollow/routing/RequestRouter.java
@@ -148,6 +148,11 @@
         return requests.openCount();
     }
 
+    /** The latest deadline of all requests without a final response, in clock time; negative infinity if there are none. */
+    public double latestDeadline() {
+        return requests.latestDeadline();
+    }
+
     @Override public void setAdmissionFilter(AdmissionFilter filter) {
         requests.setAdmissionFilter(filter);
     }
--- a/src/test/java/kelphollow/program/ServerHarness.java
+++ b/src/test/java/kelphollow/program/ServerHarness.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -80,6 +81,22 @@
         return harness;
     }
 
+    /**
+     * Starts the platform's scheduler on a socket that the next process of an upgrade also holds, with only the classes
+     * whose deadline is at most this.
+     */
+    static ServerHarness respOnSharedSocket(double deadline, InetSocketAddress node) throws Exception {
+        ServerHarness harness = new ServerHarness();
+        DiscoveryList known = new DiscoveryList(1, true,
+            List.of(new ResolvedEndpoint(new Endpoint("n0", "a", 0, EndpointState.HEALTHY, 0), node)));
+        harness.config = platformConfig(new InetSocketAddress("127.0.0.1", 1), known,
+            SettingsConfig.read(settingsWithoutLongerDeadlines(deadline)));
+        harness.wire(PlatformScheduler.start(harness.config, harness.loop, harness.ticker));
+        ServerSocketChannel shared = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+        harness.address = harness.scheduler.listen(shared);
+        return harness;
+    }
+
     private static PlatformConfig platformConfig(InetSocketAddress discovery, DiscoveryList known,
         ControlSettings settings) {
         return new PlatformConfig("test", null, discovery, 1, SOCKETS, CONNECT_TIMEOUT_MS, IDLE_TIME_MS, known, settings,
@@ -93,14 +110,18 @@
 
     /** Reloads as at SIGHUP with only the classes whose deadline is at most this. */
     void reloadWithoutLongerDeadlines(double deadline) throws Exception {
+        ((PlatformScheduler) scheduler).reload(platformConfig(config.discovery(), config.known(),
+            SettingsConfig.read(settingsWithoutLongerDeadlines(deadline))));
+        loop.submit(() -> {}).sync();
+    }
+
+    private static Map<String, Object> settingsWithoutLongerDeadlines(double deadline) throws IOException {
         Map<String, Object> settings = section(example(), "settings");
         settings.put("discovery", "automatic");
         List<?> classes = (List<?>) settings.get("request_classes");
         settings.put("request_classes",
             classes.stream().filter(row -> (Double) ((Map<?, ?>) row).get("deadline") <= deadline).toList());
-        ((PlatformScheduler) scheduler)
-            .reload(platformConfig(config.discovery(), config.known(), SettingsConfig.read(settings)));
-        loop.submit(() -> {}).sync();
+        return settings;
     }
 
     /** Reloads as at SIGHUP with a new discovery address; the loop applies it in a later task. */
@@ -153,9 +174,17 @@
     }
 
     private void start(Scheduler of) {
+        wire(of);
+        address = of.listen(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    private void wire(Scheduler of) {
         scheduler = of;
         router = of.onLoop(c -> c).join();
-        address = of.listen(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    Scheduler scheduler() {
+        return scheduler;
     }
 
     void sigtermAndStopAccepting(Runnable whenLeft) throws InterruptedException {
--- a/src/test/java/kelphollow/program/ShutdownScheduleTest.java
+++ b/src/test/java/kelphollow/program/ShutdownScheduleTest.java
@@ -37,6 +37,6 @@
     }
 
     @Test void theGatewayHasNoKillDeadline() {
-        assertEquals(Double.POSITIVE_INFINITY, ShutdownSchedule.GATEWAY.answerWithin());
+        assertEquals(Double.POSITIVE_INFINITY, ShutdownSchedule.gateway(5_000).answerWithin());
     }
 }
