Upgrade: a hand-over that cannot be read does not hold up the next process

Cause: a name with a blank made the whole file of the hand-over unreadable, and while it existed the new process did not look whether the old one lived. Evidence: the new process waits 12.0 s for a process that ended 0.4 s after SIGTERM; the reader's error is that of the new test. Change: the last blank of a line separates; a complete file that cannot be parsed is taken without tokens; an ended process is never waited for; UTF-8. Why it works: the file is replaced as a whole, so a second attempt at parsing cannot end otherwise.

--- a/src/main/java/kelphollow/program/LimitHandoverFile.java
+++ b/src/main/java/kelphollow/program/LimitHandoverFile.java
@@ -19,19 +19,28 @@
         return text.append(END).toString();
     }
 
-    /** @throws IllegalArgumentException if the text is truncated or a line is not a volume and a number */
+    /** Whether the text has been written to its end. */
+    static boolean isComplete(String text) {
+        return text.endsWith(END);
+    }
+
+    /**
+     * Parses the tokens, by volume. The last blank of a line separates them, since a volume's name may contain blanks.
+     *
+     * @throws IllegalArgumentException if the text is truncated or a line is not a volume and a number
+     */
     static Map<String, Double> read(String text) {
-        if (!text.endsWith(END)) {
+        if (!isComplete(text)) {
             throw new IllegalArgumentException("truncated: the last line is not 'end'");
         }
         Map<String, Double> tokens = new TreeMap<>();
         String[] lines = text.split("\n");
         for (int i = 0; i < lines.length - 1; i++) {
-            String[] words = lines[i].split(" ");
-            if (words.length != 2) {
+            int separator = lines[i].lastIndexOf(' ');
+            if (separator < 1) {
                 throw new IllegalArgumentException("line " + (i + 1) + " is not a volume and a number");
             }
-            tokens.put(words[0], Double.parseDouble(words[1]));
+            tokens.put(lines[i].substring(0, separator), Double.parseDouble(lines[i].substring(separator + 1)));
         }
         return tokens;
     }
--- a/src/main/java/kelphollow/program/ProcessHandover.java
+++ b/src/main/java/kelphollow/program/ProcessHandover.java
@@ -146,25 +146,21 @@
 
     /**
      * Waits until the other process has stopped accepting clients and returns the tokens it handed over, which only this
-     * process uses from then on. Returns nothing if the other process has ended without, or after {@code timeout}
-     * milliseconds: then what it has spent is unknown.
+     * process uses from then on. Returns nothing if the other process has ended without, if its hand-over is complete but
+     * cannot be parsed, or after {@code timeout} milliseconds: then what it has spent is unknown.
      */
     Optional<Map<String, Double>> await(long process, double timeout) throws InterruptedException {
         long until = System.nanoTime() + (long) (timeout * NANOS_PER_MS);
         while (System.nanoTime() - until < 0) {
-            Path left = handoverFile(process);
             boolean wasAlive = isAlive(process);   // before the file: a process may hand over, then end
-            if (Files.exists(left)) {
-                try {
-                    Map<String, Double> tokens = LimitHandoverFile.read(Files.readString(left, StandardCharsets.US_ASCII));
-                    Files.move(left, takenFile(process), StandardCopyOption.ATOMIC_MOVE);
-                    LOG.info(() -> "process " + pid + " takes over the limits of process " + process + ": "
-                        + summary(tokens));
-                    return Optional.of(tokens);
-                } catch (IOException | IllegalArgumentException e) {
-                    LOG.fine(() -> "handover file " + left + " cannot be taken: " + e.getMessage());
+            try {
+                if (Files.exists(handoverFile(process))) {
+                    return take(process);
                 }
-            } else if (!wasAlive) {
+            } catch (IOException e) {
+                LOG.fine(() -> "handover of process " + process + " cannot be taken: " + e);
+            }
+            if (!wasAlive) {
                 LOG.warning(() -> "process " + process + " has ended without handing over its limits");
                 return Optional.empty();
             }
@@ -174,6 +170,29 @@
         return Optional.empty();
     }
 
+    /** Takes the hand-over, so that no other process does. Returns nothing if it cannot be parsed, now or later. */
+    private Optional<Map<String, Double>> take(long process) throws IOException {
+        Path left = handoverFile(process);
+        String text = Files.readString(left, StandardCharsets.UTF_8);
+        if (!LimitHandoverFile.isComplete(text)) {
+            throw new IOException(left + " is truncated");
+        }
+        Optional<Map<String, Double>> tokens = parse(process, text);
+        Files.move(left, takenFile(process), StandardCopyOption.ATOMIC_MOVE);
+        tokens.ifPresent(read -> LOG.info(() -> "process " + pid + " takes over the limits of process " + process + ": "
+            + summary(read)));
+        return tokens;
+    }
+
+    private static Optional<Map<String, Double>> parse(long process, String text) {
+        try {
+            return Optional.of(LimitHandoverFile.read(text));
+        } catch (IllegalArgumentException e) {
+            LOG.warning(() -> "handover of process " + process + " cannot be parsed: " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static String summary(Map<String, Double> tokens) {
         double units = tokens.values().stream().mapToDouble(Double::doubleValue).sum();
         return tokens.size() + " volumes, " + Math.round(units) + " units";
@@ -183,7 +202,7 @@
     void handOver(Map<String, Double> tokens) {
         Path temporary = folder.resolve(TEMPORARY_PREFIX + pid);
         try {
-            Files.writeString(temporary, LimitHandoverFile.text(tokens), StandardCharsets.US_ASCII);
+            Files.writeString(temporary, LimitHandoverFile.text(tokens), StandardCharsets.UTF_8);
             Files.move(temporary, handoverFile(pid), StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
             LOG.info(() -> "process " + pid + " has handed over its limits: " + summary(tokens));
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -108,8 +108,8 @@
     }
 
     /**
-     * Closes idle connections periodically, so that clients that send nothing, or part of a command, or read nothing, hold no
-     * resources.
+     * Closes idle and stalled connections periodically, so that clients that send nothing, or part of a command, or read
+     * nothing, hold no resources.
      */
     private void scheduleSweep() {
         ticker.after(SWEEP_INTERVAL_MS, () -> {
--- a/src/main/java/kelphollow/transport/ClientMemory.java
+++ b/src/main/java/kelphollow/transport/ClientMemory.java
@@ -3,8 +3,8 @@
 /**
  * Bounds the memory that all clients of a front occupy together with requests that are incomplete or wait to be forwarded,
  * and with replies that wait to be sent. Without it, clients that stop in the middle of a request use up the JVM's buffers,
- * and the event loop stands still in their allocation. What is counted lies on the heap, in arrays of its own size: receive buffers return to their pool after
- * each read. Both fronts take their bounds from here. Confined to the event loop.
+ * and the event loop stands still in their allocation. What is counted lies on the heap, in arrays of its own size: receive
+ * buffers return to their pool after each read. Both fronts take their bounds from here. Confined to the event loop.
  */
 public final class ClientMemory {
     /** Clients may occupy one in this many bytes of the heap. */
--- a/src/test/java/kelphollow/program/LimitHandoverFileTest.java
+++ b/src/test/java/kelphollow/program/LimitHandoverFileTest.java
@@ -22,6 +22,13 @@
         }
     }
 
+    /** Guards against an upgrade whose new process cannot read the hand-over, since a client chose such a name. */
+    @Test void namesOfVolumesWithBlanksAreReadAsTheyWereWritten() {
+        Map<String, Double> tokens = Map.of("no volume", 12.5, " b ", -3.0);
+
+        assertEquals(tokens, LimitHandoverFile.read(LimitHandoverFile.text(tokens)));
+    }
+
     @Test void aLineWithoutANumberIsRejected() {
         assertThrows(IllegalArgumentException.class, () -> LimitHandoverFile.read("v\nend\n"));
     }
--- a/src/test/java/kelphollow/program/PendingRepliesTest.java
+++ b/src/test/java/kelphollow/program/PendingRepliesTest.java
@@ -185,7 +185,7 @@
         return replies;
     }
 
-    /** Before the fix the direct memory was used up once the first reply was there, and no client was answered for seconds. */
+    /** Before the fix the direct memory was used up once the first reply was there: no client was answered for seconds. */
     @Test void repliesThatWaitBehindOneOfAHungNodeDoNotHoldUpOtherClients() throws Exception {
         List<CompletableFuture<List<String>>> clients = new ArrayList<>();
         for (int client = 0; client < PIPELINING_CLIENTS; client++) {
--- a/src/test/java/kelphollow/program/ProcessHandoverTest.java
+++ b/src/test/java/kelphollow/program/ProcessHandoverTest.java
@@ -58,6 +58,30 @@
         assertEquals(Optional.empty(), next.await(OLD_PID, 100), "truncated: waits until the timeout");
     }
 
+    /** Guards against a new process that waits for one that has ended, while clients are not accepted. */
+    @Test void anEndedProcessWhoseHandoverIsTruncatedIsNotWaitedFor() throws Exception {
+        Files.writeString(folder.resolve("kelphollow-lock-" + OLD_PID), "");            // nobody holds the lock
+        Files.writeString(folder.resolve("kelphollow-handover-" + OLD_PID), "v1 3.5\n");
+
+        assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 60_000));
+    }
+
+    /** Guards against a new process that waits for a hand-over to become readable, while clients are not accepted. */
+    @Test void aCompleteHandoverThatCannotBeParsedIsNotWaitedFor() throws Exception {
+        process(OLD_PID).showAlive();
+        Files.writeString(folder.resolve("kelphollow-handover-" + OLD_PID), "a line\nbreak 3.5\nend\n");
+
+        assertEquals(Optional.empty(), process(NEXT_PID).await(OLD_PID, 60_000));
+        assertEquals(-1, process(THIRD_PID).predecessor(), "it is taken over");
+    }
+
+    /** Guards against a hand-over that cannot be written, since a client chose such a name. */
+    @Test void namesOfVolumesInAnyScriptAreHandedOver() throws Exception {
+        process(OLD_PID).handOver(Map.of("volume \u00e9", 3.5));
+
+        assertEquals(Optional.of(Map.of("volume \u00e9", 3.5)), process(NEXT_PID).await(OLD_PID, 100));
+    }
+
     @Test void anEmptyHandoverIsNoMissingOne() throws Exception {
         process(OLD_PID).showAlive();
         process(OLD_PID).handOver(Map.of());
