Uploads: an abort without effect does not forget which parts may still be stored

Cause: recordAbort forgot parts of unknown outcome before the abort was sent, and nothing brought them back when it had no effect. Evidence: the server's record: hang, 503 to the abort, list of parts without the part, two stores 5 s apart; once without the abort. Change: parts of unknown outcome are kept until the upload has ended by the server's answer. Why it works: whether such a part may be sent again is decided by the time of its own last attempt.

--- a/src/main/java/kelphollow/protocol/object/UploadParts.java
+++ b/src/main/java/kelphollow/protocol/object/UploadParts.java
@@ -101,7 +101,7 @@
 
     /** An upload was completed or aborted. */
     void uploadEnded(String upload) {
-        List<Integer> forgotten = forget(upload);
+        List<Integer> forgotten = forget(upload, Set.of(UploadPart.State.STORED, UploadPart.State.UNKNOWN));
         if (records != null) {
             records.removeUpload(upload, forgotten);
         }
@@ -110,10 +110,11 @@
     /**
      * An abort of the upload is about to be sent; {@code then} receives null once the removal of its records is durable,
      * or the fault that prevented it. From now on the node is queried for its parts: a record that outlived the upload
-     * would report parts as stored that no longer exist.
+     * would report parts as stored that no longer exist. Parts of unknown outcome stay so until the upload has ended: the
+     * node may not abort it, and may still store them.
      */
     void recordAbort(String upload, Consumer<StoreFault> then) {
-        List<Integer> forgotten = forget(upload);
+        List<Integer> forgotten = forget(upload, Set.of(UploadPart.State.STORED));
         if (records == null) {
             then.accept(null);
         } else {
@@ -121,11 +122,11 @@
         }
     }
 
-    /** Returns the numbers of the parts that were remembered. */
-    private List<Integer> forget(String upload) {
+    /** Forgets the upload's parts in these states; returns their numbers. */
+    private List<Integer> forget(String upload, Set<UploadPart.State> states) {
         fullyTracked.remove(upload);
         List<Integer> numbers = new ArrayList<>();
-        parts.values().removeIf(part -> part.upload().equals(upload) && part.state() != UploadPart.State.BUSY
+        parts.values().removeIf(part -> part.upload().equals(upload) && states.contains(part.state())
             && numbers.add(part.number()));
         return numbers;
     }
--- a/src/test/java/kelphollow/program/ObjectFrontTest.java
+++ b/src/test/java/kelphollow/program/ObjectFrontTest.java
@@ -309,6 +309,32 @@
         assertEquals(Map.of(id + "#1", 1), server.partWrites);
     }
 
+    /** Guards against a part that is stored twice because an abort that its node did not carry out had forgotten it. */
+    @Test void aPartOfUnknownOutcomeStaysUnknownWhenAnAbortIsTurnedAway() throws Exception {
+        harness.ticker.advance(SETTLED_MS);                   // nothing of an earlier process can take effect any more
+        client.close();                                       // idle for too long
+        client = new HttpTestClient(harness.address);
+        String id = begin("/symbols/m");
+        String line = "PUT /symbols/m?partNumber=1&uploadId=" + id;
+        Fault hang = Fault.of("PUT", Kind.HOLD);
+        server.faults.add(hang);
+        client.send(line, "", CONTENT);
+        server.held.take();
+        harness.runFor(4_000);
+        assertEquals(504, client.readResponse().status());
+        server.faults.add(Fault.of("DELETE", Kind.CRASH_BEFORE));
+        assertEquals(502, callAdvancingClock("DELETE /symbols/m?uploadId=" + id, new byte[0]).status());
+
+        assertEquals(503, callAdvancingClock(line, CONTENT).status(), "the node may still store it");
+
+        hang.gate().countDown();
+        while (!server.partWrites.containsKey(id + "#1")) {
+            Thread.sleep(5);
+        }
+        assertEquals(200, callAdvancingClock(line, CONTENT).status());
+        assertEquals(Map.of(id + "#1", 1), server.partWrites);
+    }
+
     /** Guards against a part whose first attempt is forgotten because a later one was rejected before it was sent. */
     @Test void aPartOfUnknownOutcomeStaysUnknownWhenTheNextAttemptIsRejected() throws Exception {
         String id = begin("/symbols/m");
