--- a/src/main/java/kelphollow/protocol/resp/RespCommand.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCommand.java
@@ -28,7 +28,8 @@
     private static final double MAX_UNITS = 1_000_000;
     private static final double MAX_INSTANCES = 1_000_000;
     private static final int NEW_OBJECT = -1;
-    private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
+    private static final int MAX_TOKEN_LENGTH = 128;
+    private static final Pattern TOKEN = Pattern.compile("[!-~]{1," + MAX_TOKEN_LENGTH + "}");
     // Stricter than Double.parseDouble, which accepts "1d", "NaN" and other forms that nodes reject.
     private static final Pattern NUMBER = Pattern.compile("-?\\d{1,12}(\\.\\d{1,9})?");
 
@@ -84,7 +85,7 @@
     RequestArrived arrival(double now) throws MalformedCommandException {
         return new RequestArrived(idText(), required(RespWireNames.REQUEST_CLASS), required(RespWireNames.PLAN), ascii(
             objectKey),
-            now + number(RespWireNames.TIME_LEFT, Double.NaN, 0, MAX_TIME_LEFT_MS), required(RespWireNames.VOLUME),
+            now + number(RespWireNames.TIME_LEFT, Double.NaN, 0, MAX_TIME_LEFT_MS), word(RespWireNames.VOLUME),
             number(RespWireNames.UNITS, 1, 0, MAX_UNITS),
             (int) number(RespWireNames.CELL, NEW_OBJECT, NEW_OBJECT, Integer.MAX_VALUE),
             (int) number(RespWireNames.INSTANCES, 1, 1, MAX_INSTANCES),
@@ -117,6 +118,15 @@
         return value;
     }
 
+    /** Returns the value of a required field that is kept beyond the request and written to files. */
+    private String word(String field) throws MalformedCommandException {
+        String value = required(field);
+        if (!TOKEN.matcher(value).matches()) {
+            throw new MalformedCommandException("'" + field + "' is no word of up to " + MAX_TOKEN_LENGTH + " characters");
+        }
+        return value;
+    }
+
     private double number(String field, double defaultValue, double min, double max) throws MalformedCommandException {
         String value = fields.get(field);
         if (value == null || NUMBER.matcher(value).matches()) {
