Tests: the stalled client's socket is filled whatever the machine's pace

Its log: 277 requests submitted, 257 shed, 20 served and no reply held, so the socket was never full; the test slept for 5 ms where it has to wait for the node.

--- a/src/test/java/kelphollow/program/ValueNode.java
+++ b/src/test/java/kelphollow/program/ValueNode.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A stand-in for a storage node of the platform: answers each command with a value of one length, or never. */
 final class ValueNode implements AutoCloseable {
@@ -18,6 +19,7 @@
     private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
     private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
     private final byte[] reply;
+    private final AtomicInteger answered = new AtomicInteger();
 
     private ValueNode(byte[] reply) throws IOException {
         this.reply = reply;
@@ -39,6 +41,11 @@
         return new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
     }
 
+    /** How many commands have been answered. */
+    int answered() {
+        return answered.get();
+    }
+
     private static void startThread(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
@@ -62,6 +69,7 @@
             while (readCommand(in)) {
                 if (reply != null) {
                     socket.getOutputStream().write(reply);
+                    answered.incrementAndGet();
                 }
             }
         } catch (IOException e) {
