Log how long a client's input was unread when its end is read or an attempt is sent

Neither log nor metrics could tell whether a client's close was noticed late and why.

- ResponseCallback.clientConnectedAsOf: as of when the client is known to be connected; InboundPacer keeps when the socket was last read to its end.
Nothing decides by it yet.
- Log and counter 'client unconfirmed': attempts sent more than 100 ms after their client was last known to be connected.
- Log and counters 'ends noticed late', 'longest unread': clients whose end lay behind unread input for more than 100 ms, with what had been read and waits (bytes held, commands decoded, replies owed, throttle).

--- a/src/main/java/kelphollow/protocol/resp/InboundPacer.java
+++ b/src/main/java/kelphollow/protocol/resp/InboundPacer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayDeque;
+import kelphollow.routing.Ticker;
 import kelphollow.transport.SocketInput;
 
 /**
@@ -18,17 +19,26 @@
     /** Some 70 of the smallest commands. */
     private static final int SLICE_BYTES = 1024;
 
+    private final Ticker ticker;
     private final Runnable whenRead;
     private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private int heldBytes;
     /** Whether the last read ended because the socket had no more input. */
     private boolean drained = true;
+    /** Clock time of the last read that found no more input; nothing is known of a connection that was not read yet. */
+    private double drainedAt = Double.NEGATIVE_INFINITY;
+    /** Clock time since which there has been input that was not read; as of the last read if there is none. */
+    private double unreadSince;
+    /** For how long there had been unread input when the socket was read last, in milliseconds. */
+    private double unreadBefore;
     private boolean discarding;
 
     /** {@code whenRead} runs after each read of the socket. */
-    InboundPacer(Runnable whenRead) {
+    InboundPacer(Ticker ticker, Runnable whenRead) {
+        this.ticker = ticker;
         this.whenRead = whenRead;
+        this.unreadSince = ticker.now();
     }
 
     @Override public void handlerAdded(ChannelHandlerContext added) {
@@ -51,7 +61,15 @@
     }
 
     @Override public void channelReadComplete(ChannelHandlerContext reading) {
+        double now = ticker.now();
+        unreadBefore = drained ? 0 : now - unreadSince;
+        if (drained) {
+            unreadSince = now;
+        }
         drained = hasRoom();
+        if (drained) {
+            drainedAt = now;
+        }
         whenRead.run();
     }
 
@@ -70,6 +88,20 @@
         return drained;
     }
 
+    /** Clock time as of which all input had been read, and with it the end of the connection if there was one. */
+    double drainedAt() {
+        return drainedAt;
+    }
+
+    /** For how long input had been unread when the socket was read last, in milliseconds. */
+    double unreadBefore() {
+        return unreadBefore;
+    }
+
+    int heldBytes() {
+        return heldBytes;
+    }
+
     /** Reads what the socket has received, as far as there is room. */
     void readNow() {
         if (hasRoom()) {
--- a/src/main/java/kelphollow/protocol/resp/ReplySlot.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplySlot.java
@@ -142,6 +142,10 @@
         heldBytes = 0;
     }
 
+    @Override public double clientConnectedAsOf() {
+        return connection.connectedAsOf();
+    }
+
     @Override public void rejected(double retryAfter, boolean timedOut) {
         error(retryAfter > 0 ? RespWireNames.BUSY + " " + (long) Math.ceil(retryAfter) : RespWireNames.BUSY);
     }
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -77,7 +77,7 @@
         this.replies = new ReplyQueue(channel, new ReplyMemory(front.memory().heldReplies()));
         this.activity = new ConnectionActivity(ticker);
         this.throttle = new CommandThrottle(ticker.now());
-        this.input = new InboundPacer(this::inputRead);
+        this.input = new InboundPacer(ticker, this::inputRead);
         this.memory = new CommandMemory(front.memory(), () -> front.commandIncomplete(this));
         this.decoded = new DecodedCommands(memory);
     }
@@ -108,6 +108,11 @@
         return activity;
     }
 
+    /** Clock time as of which the client is known to be connected. */
+    double connectedAsOf() {
+        return input.isDrained() ? ticker.now() : input.drainedAt();
+    }
+
     void requestOpened() {
         openRequests++;
     }
@@ -434,6 +439,7 @@
     }
 
     @Override public void channelInactive(ChannelHandlerContext context) {
+        logLateEnd();
         markClosed();
         decoded.clear();
         input.discard();
@@ -443,6 +449,15 @@
         front.checkShutdown();
     }
 
+    /** Logs an end that lay behind unread input for too long, and what the input waited for. */
+    private void logLateEnd() {
+        if (state == State.SERVING) {
+            front.log().endNoticed(channel.remoteAddress(), input.unreadBefore(), () -> input.heldBytes() + " bytes held, "
+                + decoded.size() + " commands decoded, " + replies.size() + " replies owed, throttled for "
+                + (long) Math.max(0, throttle.waitFor(ticker.now())) + " ms");
+        }
+    }
+
     @Override public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof IOException) {
             closesFor(CloseReason.IO_ERROR);
--- a/src/main/java/kelphollow/routing/RequestCounters.java
+++ b/src/main/java/kelphollow/routing/RequestCounters.java
@@ -23,6 +23,8 @@
     private final Map<EndpointListLease.State, Long> sent = new EnumMap<>(EndpointListLease.State.class);
     /** Of the attempts sent, those sent after the limits were handed over to the next process. */
     private long sentAfterHandover;
+    /** Of the attempts sent, those whose client was not known to be connected at the time. */
+    private long sentForUnconfirmedClient;
 
     void submitted() {
         submitted++;
@@ -68,10 +70,15 @@
         sentAfterHandover++;
     }
 
+    void sentForUnconfirmedClient() {
+        sentForUnconfirmedClient++;
+    }
+
     /** All counters as one log line. */
     String summary() {
         return "requests: submitted=" + submitted + " served=" + served + " disconnected=" + clientsDisconnected
             + " overdue=" + overdue + " rejected=" + rejected + " failed=" + failed + "; attempts: ended=" + attempts
-            + " retries=" + retries + " not sent=" + notSent + " sent=" + sent + " after handover=" + sentAfterHandover;
+            + " retries=" + retries + " not sent=" + notSent + " sent=" + sent + " after handover=" + sentAfterHandover
+            + " client unconfirmed=" + sentForUnconfirmedClient;
     }
 }
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -19,6 +19,8 @@
     private static final double COUNTERS_INTERVAL_MS = 10_000;
     /** How long past its deadline an open request is logged as overdue, and how often open requests are inspected. */
     private static final double OVERDUE_AFTER_MS = 200;
+    /** How long ago a client may have been known to be connected when an attempt is sent for it. */
+    private static final double MAX_UNCONFIRMED_MS = 100;
 
     private final Ticker ticker;
     private final Collection<Request> open;
@@ -35,6 +37,7 @@
     private final RateLimitedLog unconfirmed = new RateLimitedLog(LOG);
     private final RateLimitedLog overdue = new RateLimitedLog(LOG);
     private final RateLimitedLog afterHandover = new RateLimitedLog(LOG);
+    private final RateLimitedLog clientUnconfirmed = new RateLimitedLog(LOG);
 
     /**
      * Creates a log.
@@ -160,6 +163,7 @@
                 + " ms after the decision");
             return;
         }
+        logUnconfirmedClient(attempt, now);
         EndpointListLease.State state = lease.state(now);
         counters.sent(state);
         if (handedOver) {
@@ -171,4 +175,13 @@
             unconfirmed.info(now, () -> attempt + " is sent with an unconfirmed endpoint list: " + state);
         }
     }
+
+    private void logUnconfirmedClient(Attempt attempt, double now) {
+        double unconfirmedMs = now - attempt.request().callback().clientConnectedAsOf();
+        if (unconfirmedMs > MAX_UNCONFIRMED_MS) {
+            counters.sentForUnconfirmedClient();
+            clientUnconfirmed.info(now, () -> attempt + " is sent " + (long) unconfirmedMs
+                + " ms after its client was last known to be connected");
+        }
+    }
 }
--- a/src/main/java/kelphollow/routing/ResponseCallback.java
+++ b/src/main/java/kelphollow/routing/ResponseCallback.java
@@ -22,4 +22,12 @@
      * @param timedOut whether its last attempt timed out
      */
     void failed(boolean timedOut);
+
+    /**
+     * Clock time as of which the client is known to be connected: no disconnect had arrived then. Later than that, one may
+     * wait behind input that has not been read. A request without a client counts as connected for ever.
+     */
+    default double clientConnectedAsOf() {
+        return Double.POSITIVE_INFINITY;
+    }
 }
--- a/src/main/java/kelphollow/transport/ConnectionLog.java
+++ b/src/main/java/kelphollow/transport/ConnectionLog.java
@@ -16,12 +16,17 @@
     private static final Logger LOG = Logger.getLogger(ConnectionLog.class.getName());
     private static final double SUMMARY_INTERVAL_MS = 10_000;
     private static final int KIB = 1024;
+    /** A client's end that lay behind unread input for longer than this is noticed late. */
+    private static final double LATE_END_MS = 100;
 
     private final Ticker ticker;
     private final Supplier<String> gauges;
     private final Map<CloseReason, Long> closed = new EnumMap<>(CloseReason.class);
     private final Map<CloseReason, RateLimitedLog> withOpenRequests = new EnumMap<>(CloseReason.class);
+    private final RateLimitedLog lateEnds = new RateLimitedLog(LOG);
     private long accepted;
+    private long endsNoticedLate;
+    private double longestUnread;
 
     /** {@code gauges}: what the front holds at present, as text for the periodic line. */
     public ConnectionLog(Ticker ticker, Supplier<String> gauges) {
@@ -66,10 +71,26 @@
         }
     }
 
+    /**
+     * The end of a client's connection was read.
+     *
+     * @param unreadMs for how long there had been input before it that was not read
+     * @param input what has been read and waits, for the log
+     */
+    public void endNoticed(Object client, double unreadMs, Supplier<String> input) {
+        longestUnread = Math.max(longestUnread, unreadMs);
+        if (unreadMs > LATE_END_MS) {
+            endsNoticedLate++;
+            lateEnds.info(ticker.now(), () -> "the end of client " + client + " lay behind input that was unread for "
+                + (long) unreadMs + " ms: " + input.get());
+        }
+    }
+
     /** All counters and gauges as one line. */
     private String summary() {
         Runtime runtime = Runtime.getRuntime();
-        return "clients: accepted=" + accepted + " closed=" + closed + " " + gauges.get() + "; memory: heap="
+        return "clients: accepted=" + accepted + " closed=" + closed + " ends noticed late=" + endsNoticedLate
+            + " longest unread=" + (long) longestUnread + " ms " + gauges.get() + "; memory: heap="
             + (runtime.totalMemory() - runtime.freeMemory()) / KIB + " KiB direct="
             + PlatformDependent.usedDirectMemory() / KIB + " KiB";
     }
