--- a/src/main/java/kelphollow/lab/soak/SoakNode.java
+++ b/src/main/java/kelphollow/lab/soak/SoakNode.java
@@ -34,8 +34,14 @@
         FAILS,
         /** Rejects them before they run. */
         REJECTS,
+        /** Rejects them before they run, after a while in its queue. */
+        REJECTS_LATE,
         /** Serves them, with a pause within each reply. */
-        SERVES_IN_SEGMENTS
+        SERVES_IN_SEGMENTS;
+
+        private boolean rejects() {
+            return this == REJECTS || this == REJECTS_LATE;
+        }
     }
 
     private static final Pattern TIME_LEFT = Pattern.compile("(?:^|,)d=([0-9.]+)");
@@ -46,6 +52,7 @@
     private static final int BACKLOG = 200;
     private static final int MIN_SERVICE_MS = 3;
     private static final int SERVICE_SPREAD_MS = 25;
+    private static final int QUEUED_MS = 500;
 
     private final String name;
     private final int cell;
@@ -103,7 +110,7 @@
                 Mode now = mode;
                 Matcher timeLeft = TIME_LEFT.matcher(words.length > FIELDS ? words[FIELDS] : "");
                 history.add(new SoakHistory.AttemptArrived(at, name, words[ID],
-                    timeLeft.find() ? Double.parseDouble(timeLeft.group(1)) : 0, now != Mode.REJECTS));
+                    timeLeft.find() ? Double.parseDouble(timeLeft.group(1)) : 0, !now.rejects()));
                 if (!answer(socket, in, now, words)) {
                     return;
                 }
@@ -128,6 +135,10 @@
             }
             case FAILS -> write(socket, "-ERR failed\r\n");
             case REJECTS -> write(socket, "-BUSY\r\n");
+            case REJECTS_LATE -> {
+                Thread.sleep(QUEUED_MS);
+                write(socket, "-BUSY\r\n");
+            }
             case SERVES_IN_SEGMENTS -> {
                 if (serveLongValue(socket, words)) {
                     return true;
--- a/src/test/java/kelphollow/lab/soak/RepeatedIdTest.java
+++ b/src/test/java/kelphollow/lab/soak/RepeatedIdTest.java
@@ -16,6 +16,7 @@
     private static final String ID = "write-1";
     private static final int PATIENCE_MS = 3_000;
     private static final int POLL_MS = 5;
+    private static final int SENDING_MS = 50;
     @TempDir
     Path folder;
     private SingleInstance instance;
@@ -37,6 +38,18 @@
         return instance.history.all(SoakHistory.AttemptArrived.class).stream().filter(a -> a.id().equals(ID)).count();
     }
 
+    /** Sends the write, and once it has come to its node leaves behind input that is not read. */
+    private void sendAndLeaveBehindUnreadInput() throws Exception {
+        try (DepartingClient client = new DepartingClient(instance.history, 0, instance.address(), "left", true)) {
+            client.send(write());
+            while (arrivals() == 0) {
+                Thread.sleep(POLL_MS);
+            }
+            client.sendFor(SENDING_MS, DepartingClient.Input.UNKNOWN_COMMANDS);
+            client.leave();
+        }
+    }
+
     /** Sends the write and leaves once it has come to its node. */
     private void sendAndLeave() throws Exception {
         try (RespClient client = new RespClient(instance.address())) {
@@ -66,4 +79,22 @@
         instance.upgrade();
         assertRunsOnceWhenSentAgain();
     }
+
+    @Test void aWriteIsNotForwardedAgainAfterItsClientLeftBehindUnreadInput() throws Exception {
+        sendAndLeaveBehindUnreadInput();
+        assertRunsOnceWhenSentAgain();
+    }
+
+    @Test void aWriteIsNotForwardedAgainByTheNextProcessAfterItsClientLeftBehindUnreadInput() throws Exception {
+        sendAndLeaveBehindUnreadInput();
+        instance.upgrade();
+        assertRunsOnceWhenSentAgain();
+    }
+
+    @Test void aWriteIsNotForwardedAgainByTheNextProcessWhileTheOtherStillServes() throws Exception {
+        instance.startSuccessor();
+        sendAndLeaveBehindUnreadInput();
+        instance.process().terminatePredecessor();
+        assertRunsOnceWhenSentAgain();
+    }
 }
