Send nothing for a client whose connection was not read to its end just now

Callers saw requests forwarded up to 2.7 s after they had closed their connections.

Cause: a client's end lies behind all that it has sent, and the platform's front stopped reading a connection while 16 KiB waited for the throttle (512 commands, then 4 a millisecond; 50 ms after each invalid one) or replies waited for their client. Whether input was unread was asked when a request was submitted and never again: its first attempt, if it was queued, and its retries began by the router's timers. The same after a stall: timers ran before the sockets were read.

Change: SendEligibility, the one check before an attempt's first byte, asks as of when the client is known to be connected. Not read to its end within 50 ms: CLIENT_UNCONFIRMED, no connection is acquired, nothing is sent, and the request gets its final answer. Reading no longer stops while replies wait.

--- a/src/main/java/kelphollow/decision/AttemptCompletions.java
+++ b/src/main/java/kelphollow/decision/AttemptCompletions.java
@@ -65,7 +65,7 @@
         }
         if (event.requestFinished()) {
             answers.close(request);
-        } else if (!event.bodyConsumed() && mayRetry(request, attempt.node)) {
+        } else if (!event.unrepeatable() && mayRetry(request, attempt.node)) {
             requeue(request, attempt.node, event.outcome());
         } else {
             answers.answer(request,
--- a/src/main/java/kelphollow/decision/ControlEvent.java
+++ b/src/main/java/kelphollow/decision/ControlEvent.java
@@ -252,13 +252,14 @@
      * @param outcome how the attempt ended
      * @param latency time from the sending of the attempt to its answer
      * @param requestFinished whether the client has received its final answer with this attempt
-     * @param bodyConsumed whether the request's body has been consumed, so that it cannot be sent again
+     * @param unrepeatable whether the request must not be sent again: its body has been consumed, or its client may have
+     *     disconnected
      * @param unitsElsewhere units that the node has served for the volume through other instances since its last answer
      * @param usagePercent usage of the volume over all instances, in percent of its plan's rate; negative if unknown
      * @param loadReport the node's load report, or empty
      */
     record AttemptEnded(String id, int attempt, String node, AttemptOutcome outcome, double latency, boolean requestFinished,
-                        boolean bodyConsumed, double unitsElsewhere, double usagePercent,
+                        boolean unrepeatable, double unitsElsewhere, double usagePercent,
                         Map<String, Double> loadReport) implements ControlEvent {
         @Override public void accept(Handler handler) {
             handler.attemptEnded(this);
--- a/src/main/java/kelphollow/protocol/resp/FrontMemory.java
+++ b/src/main/java/kelphollow/protocol/resp/FrontMemory.java
@@ -9,16 +9,18 @@
  * @param incompleteCommands commands that have not arrived completely
  * @param acceptedCommands complete commands until their replies
  * @param heldReplies replies that wait for an earlier one on their connection or for their client to read
+ * @param undecodedInput input that was read from sockets and is not decoded yet
  */
-record FrontMemory(ClientMemory incompleteCommands, ClientMemory acceptedCommands, ClientMemory heldReplies) {
-    /** Returns bounds of half of {@code memory}'s capacity each. */
+record FrontMemory(ClientMemory incompleteCommands, ClientMemory acceptedCommands, ClientMemory heldReplies,
+                   ClientMemory undecodedInput) {
+    /** Returns bounds of half of {@code memory}'s capacity each, of a quarter for undecoded input. */
     static FrontMemory of(ClientMemory memory) {
-        return new FrontMemory(memory.half(), memory.half(), memory.half());
+        return new FrontMemory(memory.half(), memory.half(), memory.half(), memory.half().half());
     }
 
     /** What is occupied and may be, for the log. */
     @Override public String toString() {
         return "incomplete commands=" + incompleteCommands + " accepted commands=" + acceptedCommands + " replies="
-            + heldReplies;
+            + heldReplies + " undecoded input=" + undecodedInput;
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/ReplyQueue.java
+++ b/src/main/java/kelphollow/protocol/resp/ReplyQueue.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.stream.Collectors;
 
 /**
@@ -124,8 +125,9 @@
 
     /** Cancels the requests that are open and discards all replies, because the client has disconnected. */
     void disconnected() {
-        slots.forEach(ReplySlot::disconnected);
-        slots.forEach(ReplySlot::removed);
-        slots.clear();
+        List<ReplySlot> open = List.copyOf(slots);
+        slots.clear();                     // cancelling one request may reject others of this client
+        open.forEach(ReplySlot::disconnected);
+        open.forEach(ReplySlot::removed);
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/RespCodec.java
+++ b/src/main/java/kelphollow/protocol/resp/RespCodec.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import kelphollow.transport.LingeringClose;
 
 /** Netty's RESP codec with this protocol's size limits, and helpers to read and build its messages. */
 final class RespCodec {
@@ -42,9 +41,8 @@
         return new RedisDecoder(MAX_LINE_BYTES, FixedRedisMessagePool.INSTANCE);
     }
 
-    /** Discards the client's incomplete command and all of its further input. */
-    static void discardInput(ChannelPipeline pipeline) {
-        pipeline.addFirst(new LingeringClose.Discard());
+    /** Discards the client's incomplete command. */
+    static void discardIncomplete(ChannelPipeline pipeline) {
         pipeline.remove(BulkStringCollector.class);
         pipeline.remove(RedisArrayAggregator.class);
     }
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -77,7 +77,7 @@
         this.replies = new ReplyQueue(channel, new ReplyMemory(front.memory().heldReplies()));
         this.activity = new ConnectionActivity(ticker);
         this.throttle = new CommandThrottle(ticker.now());
-        this.input = new InboundPacer(ticker, this::inputRead);
+        this.input = new InboundPacer(ticker, front.memory().undecodedInput(), this::inputRead);
         this.memory = new CommandMemory(front.memory(), () -> front.commandIncomplete(this));
         this.decoded = new DecodedCommands(memory);
     }
@@ -110,7 +110,7 @@
 
     /** Clock time as of which the client is known to be connected. */
     double connectedAsOf() {
-        return input.isDrained() ? ticker.now() : input.drainedAt();
+        return input.connectedAsOf();
     }
 
     void requestOpened() {
@@ -136,6 +136,9 @@
      * its commands, the channel is inactive by then, and its requests are not forwarded.
      */
     private void inputRead() {
+        if (state != State.SERVING) {
+            return;                // it is discarded
+        }
         activity.touch();
         front.markActive(this);
         scheduleTurn();
@@ -281,9 +284,10 @@
         }
     }
 
-    /** With unread input the client may have left already; and a reply that would have to be held needs room. */
+    /** With unread input the client may have left already, with much of it the client floods; and a reply that would have to be held needs room. */
     private boolean mayForward(ReplySlot slot) {
-        return input.isDrained() && openRequests < MAX_OPEN_REQUESTS && (replies.isNext(slot) || replies.memory().hasRoom());
+        return input.isDrained() && !input.isBacklogged() && openRequests < MAX_OPEN_REQUESTS && (replies.isNext(slot)
+            || replies.memory().hasRoom());
     }
 
     private static String printable(String text) {
@@ -307,7 +311,7 @@
         if (!inputDiscarded) {
             inputDiscarded = true;
             input.discard();
-            RespCodec.discardInput(channel.pipeline());
+            RespCodec.discardIncomplete(channel.pipeline());
             front.commandEnded(this);
             memory.endIncomplete();
         }
@@ -417,13 +421,10 @@
         updateReading();
     }
 
-    /**
-     * Reading stops while the channel is not writable, which bounds the memory held for a client that does not read its
-     * replies (when such a client disconnects, the pending write fails), and while what was read waits to be decoded.
-     */
+    /** Reading stops only while memory allows none: a disconnect is only detected behind all that the client has sent. */
     private void updateReading() {
         if (state != State.CLOSED) {
-            channel.config().setAutoRead(channel.isWritable() && (inputDiscarded || input.hasRoom()));
+            channel.config().setAutoRead(input.hasRoom());
         }
     }
 
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -26,6 +26,7 @@
     private final double timeoutAt;
     private final double writeBy;
     private State state = State.IN_FLIGHT;
+    private boolean clientUnconfirmed;
     private Object transportHandle;
     private Ticker.Timeout timeout;
     private double responseStartedAt = Double.NaN;
@@ -146,6 +147,15 @@
         }
     }
 
+    /** The attempt was not sent, since its client may have disconnected. */
+    void setClientUnconfirmed() {
+        clientUnconfirmed = true;
+    }
+
+    boolean isClientUnconfirmed() {
+        return clientUnconfirmed;
+    }
+
     /** Sets the timer that ends the attempt at its timeout. */
     void setTimeout(Ticker.Timeout timer) {
         timeout = timer;
--- a/src/main/java/kelphollow/routing/AttemptLifecycle.java
+++ b/src/main/java/kelphollow/routing/AttemptLifecycle.java
@@ -67,7 +67,12 @@
         request.add(attempt);
         inFlight.put(key(attempt), attempt);
         attempt.setTimeout(ticker.after(timeoutAt - now, () -> timedOut(attempt)));
-        start(attempt);
+        if (eligibility.isClientConfirmed(request)) {
+            start(attempt);
+        } else {
+            checked(attempt, SendVerdict.CLIENT_UNCONFIRMED);
+            attempt.ended(AttemptResult.of(AttemptOutcome.NOT_SENT));
+        }
     }
 
     private void start(Attempt attempt) {
@@ -105,10 +110,17 @@
     /** Whether the attempt's first byte may be written now that its connection is established. */
     boolean maySend(Attempt attempt) {
         SendVerdict verdict = eligibility.verdict(attempt);
-        log.eligibilityChecked(attempt, verdict);
+        checked(attempt, verdict);
         return verdict == SendVerdict.ALLOWED;
     }
 
+    private void checked(Attempt attempt, SendVerdict verdict) {
+        log.eligibilityChecked(attempt, verdict);
+        if (verdict == SendVerdict.CLIENT_UNCONFIRMED) {
+            attempt.setClientUnconfirmed();
+        }
+    }
+
     void responseStarted(Attempt attempt) {
         attempt.cancelTimeout();
         decisions.handle(new ResponseStarted(attempt.request().arrival().id(), attempt.number()));
@@ -133,8 +145,8 @@
         }
         decisions.handle(new AttemptEnded(request.arrival().id(), attempt.number(), attempt.target().endpoint().node(),
             outcome,
-            attempt.latency(), request.isFinished(), result.bodyConsumed(), result.unitsElsewhere(), result.usagePercent(),
-            result.loadReport()));
+            attempt.latency(), request.isFinished(), result.bodyConsumed() || attempt.isClientUnconfirmed(),
+            result.unitsElsewhere(), result.usagePercent(), result.loadReport()));
     }
 
     private static String key(Attempt attempt) {
--- a/src/main/java/kelphollow/routing/SendEligibility.java
+++ b/src/main/java/kelphollow/routing/SendEligibility.java
@@ -7,10 +7,13 @@
  * The only check whether an attempt may be sent to a node, for first attempts and retries alike. It runs when the decision
  * module has decided to send, to verify the module, and again when the connection is established, before the first byte:
  * what held at the decision may have ended while the connection was being established. It depends only on the state of
- * the request and of the attempt, the time, the endpoint list with its overrides, and the lease on that list. Confined to
- * the event loop.
+ * the request and of the attempt, the time, the endpoint list with its overrides, the lease on that list, and whether the
+ * client is still connected. Confined to the event loop.
  */
 final class SendEligibility {
+    /** How long ago a client may have been known to be connected. An attempt may begin up to 100 ms after its close. */
+    private static final double MAX_UNCONFIRMED_MS = 50;
+
     private final Ticker ticker;
     private final Predicate<String> acceptsRequests;
     private final EndpointListLease lease;
@@ -24,7 +27,15 @@
 
     /** Whether the attempt's first byte may be written now, and if not, why. */
     SendVerdict verdict(Attempt attempt) {
-        return verdict(attempt, ticker.now());
+        SendVerdict verdict = verdict(attempt, ticker.now());
+        return verdict == SendVerdict.ALLOWED && !isClientConfirmed(attempt.request()) ? SendVerdict.CLIENT_UNCONFIRMED
+            : verdict;
+    }
+
+    /** Whether the request's client is known to be still connected, as far as anything sent for it requires. */
+    boolean isClientConfirmed(Request request) {
+        double connectedAsOf = request.callback().clientConnectedAsOf();
+        return ticker.now() - connectedAsOf <= MAX_UNCONFIRMED_MS;
     }
 
     private SendVerdict verdict(Attempt attempt, double now) {
--- a/src/main/java/kelphollow/routing/SendVerdict.java
+++ b/src/main/java/kelphollow/routing/SendVerdict.java
@@ -15,5 +15,7 @@
     /** The node is draining, not on the endpoint list, in maintenance or ejected. */
     ENDPOINT_NOT_ELIGIBLE,
     /** The lease on the endpoint list has expired or has not begun. */
-    LEASE_EXPIRED
+    LEASE_EXPIRED,
+    /** The client has disconnected, or may have: its disconnect may wait behind input that has not been read. */
+    CLIENT_UNCONFIRMED
 }
--- a/src/test/java/kelphollow/decision/AttemptCompletionsTest.java
+++ b/src/test/java/kelphollow/decision/AttemptCompletionsTest.java
@@ -30,8 +30,8 @@
         return request;
     }
 
-    private List<ControlAction> end(AttemptOutcome outcome, boolean requestFinished, boolean bodyConsumed) {
-        completions.ended(new AttemptEnded("r", 0, "n0", outcome, 20, requestFinished, bodyConsumed, 0, -1, Map.of()));
+    private List<ControlAction> end(AttemptOutcome outcome, boolean requestFinished, boolean unrepeatable) {
+        completions.ended(new AttemptEnded("r", 0, "n0", outcome, 20, requestFinished, unrepeatable, 0, -1, Map.of()));
         return state.actions.drain();
     }
 
--- a/src/test/java/kelphollow/decision/DecisionWorkload.java
+++ b/src/test/java/kelphollow/decision/DecisionWorkload.java
@@ -291,11 +291,11 @@
             open.remove(id);
         }
         boolean ended = !open.containsKey(id);
-        boolean bodyConsumed = outcome == AttemptOutcome.RESET && random.nextInt(10) == 0;
+        boolean unrepeatable = outcome == AttemptOutcome.RESET && random.nextInt(10) == 0;
         double usage = random.nextInt(4) == 0 ? random.nextDouble() * 150 : -1;
         double elsewhere = random.nextInt(3) == 0 ? random.nextDouble() * 5 : 0;
         deliver("ended-" + outcome.ordinal() + " " + attempt, new AttemptEnded(id, number, node.id, outcome, latency, ended,
-            bodyConsumed, elsewhere, usage, Map.of()));
+            unrepeatable, elsewhere, usage, Map.of()));
     }
 
     // ---------------------------------------------------------------- nodes, discovery and settings
--- a/src/test/java/kelphollow/routing/RouterHarness.java
+++ b/src/test/java/kelphollow/routing/RouterHarness.java
@@ -31,6 +31,8 @@
     private record Timer(double at, Runnable task) {}
 
     double now = 1_000;
+    /** Clock time at which the clients' connections were read to their end last; infinity: they are at any time. */
+    double lastReadAt = Double.POSITIVE_INFINITY;
     final List<Attempt> sent = new ArrayList<>();
     /** Nodes whose idle connections the router closed. */
     final List<String> closedIdle = new ArrayList<>();
@@ -125,6 +127,10 @@
             @Override public void failed(boolean timedOut) {
                 rejected.add(key);
             }
+
+            @Override public double clientConnectedAsOf() {
+                return Math.min(now, lastReadAt);
+            }
         });
     }
 
--- a/src/test/java/kelphollow/routing/SendVerdictTest.java
+++ b/src/test/java/kelphollow/routing/SendVerdictTest.java
@@ -81,4 +81,39 @@
 
         assertFalse(attempt.maySend());
     }
+
+    @Test void nothingIsSentForAClientWhoseInputHasBeenUnreadForTooLong() {
+        Attempt attempt = connecting("read");
+        harness.lastReadAt = harness.now;
+
+        harness.now += 50;
+        assertTrue(attempt.maySend());
+        harness.now += 1;
+        assertFalse(attempt.maySend());
+    }
+
+    @Test void aRetryWhoseClientMayHaveLeftIsRejectedWithoutAConnection() {
+        Attempt first = connecting("read");
+        harness.lastReadAt = harness.now;
+        harness.advance(20);
+        first.ended(AttemptResult.of(AttemptOutcome.AT_CAPACITY));
+        harness.advance(40, 10);
+
+        assertEquals(1, harness.sent.size());
+        assertEquals(List.of("k"), harness.rejected);
+    }
+
+    @Test void anAttemptNotSentBecauseItsClientMayHaveLeftIsNotRepeated() {
+        Attempt first = connecting("read");
+        harness.lastReadAt = harness.now;
+        harness.advance(60);
+        assertFalse(first.maySend());
+
+        harness.lastReadAt = Double.POSITIVE_INFINITY;
+        first.ended(AttemptResult.of(AttemptOutcome.NOT_SENT));
+        harness.advance(40, 10);
+
+        assertEquals(1, harness.sent.size());
+        assertEquals(List.of("k"), harness.rejected);
+    }
 }
