Log attempts whose first byte was written late after their check

The log could not tell whether the process was stopped between the check and the write, which nothing can prevent, or whether the check let it pass. It says so now ('was written N ms after its check', counter 'held up'), and the test accepts a late attempt only with that line.

The check before a connection is acquired is a method of its own: SendPathTest failed since SendEligibility called its own package method.

--- a/src/main/java/kelphollow/lab/soak/ServeProcess.java
+++ b/src/main/java/kelphollow/lab/soak/ServeProcess.java
@@ -107,6 +107,11 @@
         return listen;
     }
 
+    /** What the instance's processes have logged so far. */
+    String logged() throws IOException {
+        return Files.readString(log());
+    }
+
     private Path log() {
         return folder.resolve(name + ".log");
     }
--- a/src/main/java/kelphollow/protocol/object/NodeExchange.java
+++ b/src/main/java/kelphollow/protocol/object/NodeExchange.java
@@ -81,6 +81,7 @@
             attempt.ended(AttemptResult.of(AttemptOutcome.NOT_SENT, null, transfer.isBodyConsumed()));
         } else if (transfer.streamsBody()) {
             ready.channel().writeAndFlush(NodeRequests.streamed(transfer));
+            attempt.firstByteWritten();
             if (transfer.call().length() > 0) {
                 timer = ticker.after(CONTINUE_TIMEOUT_MS, this::startBody);
             } else {
@@ -88,6 +89,7 @@
             }
         } else {
             requestWritten = ready.channel().writeAndFlush(NodeRequests.complete(transfer));
+            attempt.firstByteWritten();
         }
     }
 
--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -69,6 +69,7 @@
         }
         isRegistered = true;
         commandWritten = established.channel().writeAndFlush(request().command().forNode(attempt.remaining()));
+        attempt.firstByteWritten();
     }
 
     private RespRequest request() {
--- a/src/main/java/kelphollow/routing/Attempt.java
+++ b/src/main/java/kelphollow/routing/Attempt.java
@@ -27,6 +27,7 @@
     private final double writeBy;
     private State state = State.IN_FLIGHT;
     private boolean clientUnconfirmed;
+    private double checkedAt;
     private Object transportHandle;
     private Ticker.Timeout timeout;
     private double responseStartedAt = Double.NaN;
@@ -114,7 +115,14 @@
      * the connection was being established.
      */
     public boolean maySend() {
-        return lifecycle.maySend(this);
+        boolean allowed = lifecycle.maySend(this);
+        checkedAt = lifecycle.now();
+        return allowed;
+    }
+
+    /** The first bytes have been handed to the socket, right after {@link #maySend}. */
+    public void firstByteWritten() {
+        lifecycle.firstByteWritten(this, lifecycle.now() - checkedAt);
     }
 
     /** The last byte of the request's body has been written: the node's response is due from now on. */
--- a/src/main/java/kelphollow/routing/AttemptLifecycle.java
+++ b/src/main/java/kelphollow/routing/AttemptLifecycle.java
@@ -67,10 +67,11 @@
         request.add(attempt);
         inFlight.put(key(attempt), attempt);
         attempt.setTimeout(ticker.after(timeoutAt - now, () -> timedOut(attempt)));
-        if (eligibility.isClientConfirmed(request)) {
+        SendVerdict verdict = eligibility.verdictBeforeConnecting(attempt);
+        if (verdict == SendVerdict.ALLOWED) {
             start(attempt);
         } else {
-            checked(attempt, SendVerdict.CLIENT_UNCONFIRMED);
+            checked(attempt, verdict);
             attempt.ended(AttemptResult.of(AttemptOutcome.NOT_SENT));
         }
     }
@@ -114,6 +115,11 @@
         return verdict == SendVerdict.ALLOWED;
     }
 
+    /** The first byte was written so long after the check; by then the client may have left or the node begun to drain. */
+    void firstByteWritten(Attempt attempt, double afterCheck) {
+        log.firstByteWritten(attempt, afterCheck);
+    }
+
     private void checked(Attempt attempt, SendVerdict verdict) {
         log.eligibilityChecked(attempt, verdict);
         if (verdict == SendVerdict.CLIENT_UNCONFIRMED) {
--- a/src/main/java/kelphollow/routing/RequestCounters.java
+++ b/src/main/java/kelphollow/routing/RequestCounters.java
@@ -25,6 +25,8 @@
     private long sentAfterHandover;
     /** Of the attempts sent, those whose client was not known to be connected at the time. */
     private long sentForUnconfirmedClient;
+    /** Of the attempts sent, those whose first byte was written late after their check. */
+    private long sentAfterHoldUp;
 
     void submitted() {
         submitted++;
@@ -74,11 +76,16 @@
         sentForUnconfirmedClient++;
     }
 
+    void sentAfterHoldUp() {
+        sentAfterHoldUp++;
+    }
+
     /** All counters as one log line. */
     String summary() {
         return "requests: submitted=" + submitted + " served=" + served + " disconnected=" + clientsDisconnected
             + " overdue=" + overdue + " rejected=" + rejected + " failed=" + failed + "; attempts: ended=" + attempts
             + " retries=" + retries + " not sent=" + notSent + " sent=" + sent + " after handover=" + sentAfterHandover
-            + " client unconfirmed=" + sentForUnconfirmedClient;
+            + " client unconfirmed=" + sentForUnconfirmedClient
+            + " held up=" + sentAfterHoldUp;
     }
 }
--- a/src/main/java/kelphollow/routing/RequestLog.java
+++ b/src/main/java/kelphollow/routing/RequestLog.java
@@ -21,6 +21,8 @@
     private static final double OVERDUE_AFTER_MS = 200;
     /** How long ago a client may have been known to be connected when an attempt is sent for it. */
     private static final double MAX_UNCONFIRMED_MS = 100;
+    /** Time between the check of an attempt and its first byte from which the process was held up. */
+    private static final double HELD_UP_MS = 20;
 
     private final Ticker ticker;
     private final Collection<Request> open;
@@ -38,6 +40,7 @@
     private final RateLimitedLog overdue = new RateLimitedLog(LOG);
     private final RateLimitedLog afterHandover = new RateLimitedLog(LOG);
     private final RateLimitedLog clientUnconfirmed = new RateLimitedLog(LOG);
+    private final RateLimitedLog heldUp = new RateLimitedLog(LOG);
 
     /**
      * Creates a log.
@@ -176,6 +179,14 @@
         }
     }
 
+    /** Logs a process that was held up between the check of an attempt and its first byte. */
+    void firstByteWritten(Attempt attempt, double afterCheck) {
+        if (afterCheck > HELD_UP_MS && !disabled) {
+            counters.sentAfterHoldUp();
+            heldUp.info(ticker.now(), () -> attempt + " was written " + (long) afterCheck + " ms after its check");
+        }
+    }
+
     private void logUnconfirmedClient(Attempt attempt, double now) {
         double unconfirmedMs = now - attempt.request().callback().clientConnectedAsOf();
         if (unconfirmedMs > MAX_UNCONFIRMED_MS) {
--- a/src/main/java/kelphollow/routing/SendEligibility.java
+++ b/src/main/java/kelphollow/routing/SendEligibility.java
@@ -28,14 +28,17 @@
     /** Whether the attempt's first byte may be written now, and if not, why. */
     SendVerdict verdict(Attempt attempt) {
         SendVerdict verdict = verdict(attempt, ticker.now());
-        return verdict == SendVerdict.ALLOWED && !isClientConfirmed(attempt.request()) ? SendVerdict.CLIENT_UNCONFIRMED
-            : verdict;
+        return verdict == SendVerdict.ALLOWED ? clientVerdict(attempt) : verdict;
     }
 
-    /** Whether the request's client is known to be still connected, as far as anything sent for it requires. */
-    boolean isClientConfirmed(Request request) {
-        double connectedAsOf = request.callback().clientConnectedAsOf();
-        return ticker.now() - connectedAsOf <= MAX_UNCONFIRMED_MS;
+    /** Whether a connection may be acquired for the attempt: its client must be known to be still connected. */
+    SendVerdict verdictBeforeConnecting(Attempt attempt) {
+        return clientVerdict(attempt);
+    }
+
+    private SendVerdict clientVerdict(Attempt attempt) {
+        double connectedAsOf = attempt.request().callback().clientConnectedAsOf();
+        return ticker.now() - connectedAsOf <= MAX_UNCONFIRMED_MS ? SendVerdict.ALLOWED : SendVerdict.CLIENT_UNCONFIRMED;
     }
 
     private SendVerdict verdict(Attempt attempt, double now) {
