Object API: start nothing for a client whose connection was not read to its end

A client that left behind more of its body than may be read ahead (1 MB with the deploy file's heap) had its upload forwarded: the end lies behind the body.

Change: ObjectExchange and UploadQuery tell SendEligibility as of when their client is known to be connected, as ReplySlot does. How far a connection was read is known to ReadProgress, the first handler of both fronts; a read ended when the socket gave no more bytes, whatever ended the loop. A completion begins after the read that brought its last byte.

--- a/src/main/java/kelphollow/protocol/object/DemandQueue.java
+++ b/src/main/java/kelphollow/protocol/object/DemandQueue.java
@@ -95,6 +95,16 @@
         return demanded && messages.isEmpty();
     }
 
+    /** Whether no message is queued. */
+    boolean isEmpty() {
+        return messages.isEmpty();
+    }
+
+    /** Whether less is queued than any client may have read ahead, however many there are. */
+    boolean isWithinShare() {
+        return memory.isWithinShare(queuedBytes);
+    }
+
     /** Whether memory allows reading messages that are not demanded yet. */
     boolean mayReadAhead() {
         return memory.mayReadAhead(queuedBytes);
--- a/src/main/java/kelphollow/protocol/object/ObjectConnection.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectConnection.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import kelphollow.routing.Invariant;
 import kelphollow.transport.CloseReason;
+import kelphollow.transport.ReadProgress;
 import kelphollow.transport.SocketInput;
 
 /**
@@ -28,10 +29,13 @@
     private final ObjectServices services;
     private final Channel channel;
     private final DemandQueue inbound;
+    private final ReadProgress progress;
     private final ConnectionIdleTracker idleTracker;
     private ObjectExchange current;
     /** The head of a pipelined request that waits for the current exchange to end. */
     private HttpRequest next;
+    /** Clock time at which a request was read that found the connection idle and nothing queued. */
+    private double arrivedAt = Double.NEGATIVE_INFINITY;
     /** Whether the current read has yielded a message. */
     private boolean readMessage;
     /** Whether anything was read since {@link #readBeforeBegin} was called last. */
@@ -49,6 +53,7 @@
         this.services = services;
         this.channel = channel;
         this.inbound = new DemandQueue(channel, services.clientMemory(), this::handle);
+        this.progress = new ReadProgress(services.ticker(), inbound::mayReadAhead);
         this.idleTracker = new ConnectionIdleTracker(services.ticker(), services.options().stallTimeout());
     }
 
@@ -69,6 +74,30 @@
         return channel;
     }
 
+    /** How far the connection has been read; its handler is the first of the pipeline. */
+    ReadProgress progress() {
+        return progress;
+    }
+
+    /**
+     * Clock time as of which the client is known to be connected. A request that found the connection idle is assumed to
+     * have arrived when the loop read it, since a long body may follow it faster than it can be read.
+     */
+    double connectedAsOf() {
+        double readToEndAt = progress.connectedAsOf();
+        return channel.isActive() ? Math.max(readToEndAt, arrivedAt) : Double.NEGATIVE_INFINITY;
+    }
+
+    /** Runs a task once the read in progress has ended, unless the client disconnects before. */
+    void afterRead(Runnable task) {
+        ObjectExchange exchange = current;
+        channel.eventLoop().execute(() -> {
+            if (current == exchange) {
+                task.run();
+            }
+        });
+    }
+
     /** Whether connections close as soon as no response is outstanding. */
     boolean isShuttingDown() {
         return front.isShuttingDown();
@@ -87,6 +116,9 @@
     @Override public void channelRead(ChannelHandlerContext context, Object message) {
         readMessage = true;
         readSinceScheduled = true;
+        if (isIdle() && inbound.isEmpty()) {
+            arrivedAt = services.now();
+        }
         inbound.add(message);
         updateReadAhead();
     }
@@ -131,7 +163,7 @@
             if (current == null) {
                 scheduleBegin();
             } else {
-                channel.read();      // pipelined: it waits, and the read detects a disconnect meanwhile
+                readToDetectDisconnect();
             }
         } else if (message instanceof HttpContent content && current != null && !current.isBodyRead()) {
             current.chunk(content);
@@ -154,13 +186,13 @@
     private void readBeforeBegin() {
         readSinceScheduled = false;
         updateReadAhead();
-        channel.read();
+        readToDetectDisconnect();
         SingleThreadEventLoop loop = (SingleThreadEventLoop) channel.eventLoop();
         loop.executeAfterEventLoopIteration(() -> loop.execute(() -> {
             if (next == null || current != null || !channel.isActive()) {
                 return;
             }
-            if (readSinceScheduled && inbound.mayReadAhead() && services.now() < beginBy) {
+            if (readSinceScheduled && inbound.isWithinShare() && services.now() < beginBy) {
                 readBeforeBegin();
                 return;
             }
@@ -171,6 +203,13 @@
         }));
     }
 
+    /** Reads on behind a request that waits, unless its client has much queued already. */
+    private void readToDetectDisconnect() {
+        if (inbound.isWithinShare()) {
+            channel.read();
+        }
+    }
+
     private void begin(HttpRequest request) {
         current = new ObjectExchange(services, this, request, front.nextRequestId());
         if (request.decoderResult().isFailure()) {
--- a/src/main/java/kelphollow/protocol/object/ObjectExchange.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectExchange.java
@@ -204,7 +204,7 @@
         document = null;
         CompletionForwarding completion = new CompletionForwarding(services, this, complete);
         forwarding = completion;
-        completion.begin();
+        connection.afterRead(completion::begin);
     }
 
     // ------------------------------------------------------------ response
@@ -231,6 +231,10 @@
         }
     }
 
+    @Override public double clientConnectedAsOf() {
+        return connection.connectedAsOf();
+    }
+
     @Override public void served(Object served) {
         if (served == null) {
             finished = true;
--- a/src/main/java/kelphollow/protocol/object/ObjectFront.java
+++ b/src/main/java/kelphollow/protocol/object/ObjectFront.java
@@ -99,7 +99,7 @@
         connections.add(connection);
         log.accepted();
         connection.scheduleIdleCheck();
-        channel.pipeline().addLast(codec, connection);
+        channel.pipeline().addLast(connection.progress(), codec, connection);
     }
 
     /**
--- a/src/main/java/kelphollow/protocol/object/Transfer.java
+++ b/src/main/java/kelphollow/protocol/object/Transfer.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import kelphollow.routing.ResponseCallback;
 
 /**
  * One request of the object API, shared by its front and its backend: the call, its body on the way to the node, and the
@@ -27,6 +28,9 @@
 
         boolean isWritable();
 
+        /** Clock time as of which the client is known to be connected; see {@link ResponseCallback}. */
+        double clientConnectedAsOf();
+
         /** The client has read nothing for too long. */
         void stalled();
     }
--- a/src/main/java/kelphollow/protocol/object/UploadQuery.java
+++ b/src/main/java/kelphollow/protocol/object/UploadQuery.java
@@ -23,6 +23,7 @@
     private final RequestRouter router;
     private final ObjectRequestMapper mapper;
     private final Listener listener;
+    private Transfer.Client client;
     private boolean pending;
     private Request request;
 
@@ -33,7 +34,8 @@
     }
 
     /** Sends this ListParts call. */
-    void send(ObjectCall list, Transfer.Client client) {
+    void send(ObjectCall list, Transfer.Client onBehalfOf) {
+        client = onBehalfOf;
         pending = true;
         RequestArrived arrival;
         try {
@@ -63,6 +65,10 @@
         listener.failed(error);
     }
 
+    @Override public double clientConnectedAsOf() {
+        return client.clientConnectedAsOf();
+    }
+
     @Override public void served(Object response) {
         pending = false;
         listener.responseReceived((NodeResponse) response);
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -110,7 +110,7 @@
 
     /** Clock time as of which the client is known to be connected. */
     double connectedAsOf() {
-        return input.connectedAsOf();
+        return input.progress().connectedAsOf();
     }
 
     void requestOpened() {
@@ -206,15 +206,15 @@
 
     /** Reads the socket once more unless that was read to its end; returns whether there is more to decode. */
     private boolean readOn() {
-        if (!input.isDrained()) {
-            input.readNow();
+        if (!input.progress().isDrained()) {
+            input.progress().readNow();
         }
         return !input.isEmpty();
     }
 
     /** Handles commands once all input is read, so that the disconnect of their client is known, or no more can be held. */
     private void handleDecoded() {
-        boolean settled = input.isDrained() && input.isEmpty() || decoded.isFull() || inputFailure != null;
+        boolean settled = input.progress().isDrained() && input.isEmpty() || decoded.isFull() || inputFailure != null;
         for (int i = 0; settled && i < COMMANDS_PER_TURN && !decoded.isEmpty(); i++) {
             if (state != State.SERVING || !channel.isWritable() || throttle.waitFor(ticker.now()) > 0) {
                 return;
@@ -286,7 +286,8 @@
 
     /** With unread input the client may have left already, with much of it the client floods; and a reply that would have to be held needs room. */
     private boolean mayForward(ReplySlot slot) {
-        return input.isDrained() && !input.isBacklogged() && openRequests < MAX_OPEN_REQUESTS && (replies.isNext(slot)
+        return input.progress().isDrained() && !input.isBacklogged() && openRequests < MAX_OPEN_REQUESTS && (replies.isNext(
+            slot)
             || replies.memory().hasRoom());
     }
 
@@ -336,7 +337,7 @@
      */
     void closeIfIdle(CloseReason reason) {
         if (isIdle()) {
-            input.readNow();
+            input.progress().readNow();
         }
         if (isIdle() && state == State.SERVING) {
             closesFor(reason);
@@ -364,7 +365,7 @@
 
     /** Closes the connection after its last reply, in a shutdown; requests that arrive meanwhile stay unread. */
     private void closeForShutdown() {
-        input.readNow();
+        input.progress().readNow();
         if (hasNoCommands() && state == State.SERVING) {
             closesFor(CloseReason.SHUTDOWN);
             markClosed();
@@ -453,7 +454,8 @@
     /** Logs an end that lay behind unread input for too long, and what the input waited for. */
     private void logLateEnd() {
         if (state == State.SERVING) {
-            front.log().endNoticed(channel.remoteAddress(), input.unreadBefore(), () -> input.heldBytes() + " bytes held, "
+            front.log().endNoticed(channel.remoteAddress(), input.progress().unreadBefore(), () -> input.heldBytes()
+                + " bytes held, "
                 + decoded.size() + " commands decoded, " + replies.size() + " replies owed, throttled for "
                 + (long) Math.max(0, throttle.waitFor(ticker.now())) + " ms");
         }
--- a/src/main/java/kelphollow/protocol/resp/RespFront.java
+++ b/src/main/java/kelphollow/protocol/resp/RespFront.java
@@ -100,7 +100,7 @@
 
     @Override public void accept(Channel channel) {
         RespConnection connection = new RespConnection(this, router, intake, ticker, channel);
-        channel.pipeline().addLast(connection.input());
+        channel.pipeline().addLast(connection.input().progress(), connection.input());
         channel.pipeline().addLast(RespCodec.forClient(connection.memory()));
         connections.add(connection);
         log.accepted();
--- a/src/main/java/kelphollow/transport/ClientMemory.java
+++ b/src/main/java/kelphollow/transport/ClientMemory.java
@@ -66,8 +66,13 @@
         return ownBytes < capacity - occupied;
     }
 
+    /** Whether a client that occupies {@code queuedBytes} bytes ahead of demand occupies less than any client may. */
+    public boolean isWithinShare(long queuedBytes) {
+        return occupied < capacity && queuedBytes < capacity / CAPACITY_PER_CLIENT;
+    }
+
     /** Whether a client that occupies {@code queuedBytes} bytes ahead of demand may be read further. */
     public boolean mayReadAhead(long queuedBytes) {
-        return occupied < capacity && queuedBytes < capacity / CAPACITY_PER_CLIENT;
+        return isWithinShare(queuedBytes) || hasRoomFor(queuedBytes);
     }
 }
--- a/src/main/java/kelphollow/transport/Server.java
+++ b/src/main/java/kelphollow/transport/Server.java
@@ -22,8 +22,7 @@
     static final int INITIAL_RECEIVE_BUFFER_BYTES = 2 * 1024;
     /** A codec keeps a receive buffer while it holds part of a line, on every connection if clients stop there. */
     static final int MAX_RECEIVE_BUFFER_BYTES = 16 * 1024;
-    /** After so many reads a loop that reads a socket ends, even if there is more input. */
-    public static final int MAX_READS_AT_ONCE = 16;
+    private static final int MAX_READS_AT_ONCE = 16;
     /** Reads until no input is left, so that a client's disconnect right after its request is detected with the request. */
     private static final RecvByteBufAllocator READ_ALL = new AdaptiveRecvByteBufAllocator(MIN_RECEIVE_BUFFER_BYTES,
         INITIAL_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES).respectMaybeMoreData(false)
--- a/src/test/java/kelphollow/program/SmallProcess.java
+++ b/src/test/java/kelphollow/program/SmallProcess.java
@@ -55,6 +55,11 @@
         reader.start();
     }
 
+    /** Sends a signal by name. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
