Object API: bound the pipelined requests that are read ahead by number

A client that pipelines thousands of requests lost its connection and its open request to 'maxPipelineDepth exceeded: 1024': each request that began read the socket once more, whatever was queued, and reading ahead was bounded by bytes alone. Now at most 64 requests are read ahead, and one more read of 16 KB yields some 900 of the shortest.

--- a/src/main/java/kelphollow/protocol/object/DemandQueue.java
+++ b/src/main/java/kelphollow/protocol/object/DemandQueue.java
@@ -21,12 +21,15 @@
     private static final long MESSAGE_BYTES = 256;
     /** Counted for a request's head, whose own size is not known here. */
     private static final long HEAD_BYTES = 16 * 1024;
+    /** Requests that one client may have read ahead; one more read may yield hundreds, which the codec has to bear. */
+    private static final int MAX_REQUESTS = 64;
 
     private final Channel channel;
     private final ClientMemory memory;
     private final Consumer<Object> receiver;
     private final ArrayDeque<Object> messages = new ArrayDeque<>();
     private long queuedBytes;
+    private int queuedRequests;
     private boolean demanded;
     /** Whether a message is being delivered, or {@link #withDeliveryDeferred} holds deliveries back. */
     private boolean delivering;
@@ -61,6 +64,7 @@
             content.release();
         }
         messages.add(queued);
+        queuedRequests += queued instanceof HttpRequest ? 1 : 0;
         queuedBytes += size(queued);
         memory.add(size(queued));
     }
@@ -74,6 +78,7 @@
 
     private Object remove() {
         Object message = messages.remove();
+        queuedRequests -= message instanceof HttpRequest ? 1 : 0;
         queuedBytes -= size(message);
         memory.release(size(message));
         return message;
@@ -102,12 +107,12 @@
 
     /** Whether less is queued than any client may have read ahead, however many there are. */
     boolean isWithinShare() {
-        return memory.isWithinShare(queuedBytes);
+        return queuedRequests < MAX_REQUESTS && memory.isWithinShare(queuedBytes);
     }
 
     /** Whether memory allows reading messages that are not demanded yet. */
     boolean mayReadAhead() {
-        return memory.mayReadAhead(queuedBytes);
+        return queuedRequests < MAX_REQUESTS && memory.mayReadAhead(queuedBytes);
     }
 
     /** Runs a task; messages that it demands are delivered after it ends. */
--- a/src/test/java/kelphollow/program/UnreadUploadDepartureTest.java
+++ b/src/test/java/kelphollow/program/UnreadUploadDepartureTest.java
@@ -22,6 +22,7 @@
     private static final int CLIENTS = 3;
     /** More than is read ahead with the deploy file's heap. */
     private static final int UPLOAD_BYTES = 12 * 1024 * 1024;
+    private static final int PIPELINED = 60_000;
     private static final int SENDING_MS = 80;
     private static final int LEFT_MS = 130;
     private static final int WATCHED_MS = 1_500;
@@ -81,4 +82,8 @@
         assertEquals(List.of(), forwardedLate("PUT /symbols/left HTTP/1.1\r\nHost: h\r\nContent-Length: " + UPLOAD_BYTES
             + "\r\n\r\n" + "x".repeat(UPLOAD_BYTES)));
     }
+
+    @Test void aRequestIsNotForwardedOnceItsClientLeftBehindPipelinedOnes() throws Exception {
+        assertEquals(List.of(), forwardedLate("GET /symbols/left HTTP/1.1\r\nHost: h\r\n\r\n".repeat(PIPELINED)));
+    }
 }
