Soak: groups of clients that leave behind unread input, and send ids again

UPGRADES_WITH_DEPARTURES and UPGRADES_WITH_DEPARTURES_AND_CROWD: clients send up to 40 requests, then for up to 150 ms as much input as the socket takes (PING, unknown commands or classes, commands of 60 KB), and leave; some read no replies; some send requests that must run only once again under the same ids, also during an upgrade. FaultSoakTest plays the first beside its four runs.

--- a/src/main/java/kelphollow/lab/soak/DepartingClient.java
+++ b/src/main/java/kelphollow/lab/soak/DepartingClient.java
@@ -6,6 +6,9 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
 import kelphollow.lab.soak.SoakHistory.Outcome;
 import kelphollow.lab.soak.SoakHistory.RequestEnded;
 import kelphollow.lab.soak.SoakHistory.RequestSent;
@@ -37,13 +40,16 @@
         }
     }
 
+    /** A request that was sent. */
+    private record Sent(String id, String requestClass, int patience, int cell) {}
+
     /** How long the client would wait for its answers, the longest that the settings of the soak have. */
     static final int PATIENCE_MS = 5_000;
     private static final int LONG_WORD_BYTES = 60_000;
     private static final int BLOCK_BYTES = 64 * 1024;
     private static final int SEND_BUFFER_BYTES = 1024 * 1024;
     private static final int POLL_MS = 1;
-    private static final String REQUEST_CLASS = "dump-export";
+    private static final int WRITE_PATIENCE_MS = 3_000;
 
     private final SoakHistory history;
     private final int instance;
@@ -51,7 +57,8 @@
     private final boolean readsReplies;
     private final SocketChannel channel;
     private final ByteBuffer replies = ByteBuffer.allocate(BLOCK_BYTES);
-    private int requests;
+    private final List<Sent> sent = new ArrayList<>();
+    private double sentAt;
 
     /**
      * Connects the client.
@@ -72,15 +79,37 @@
 
     /** Sends requests that may be repeated, one for each of the cells in turn. */
     void request(int count, int cells) throws IOException {
-        StringBuilder commands = new StringBuilder();
-        int first = requests;
-        for (; requests < first + count; requests++) {
-            commands.append(RespClient.get(id(requests), REQUEST_CLASS, PATIENCE_MS, requests % cells));
-        }
-        send(commands.toString());
+        request(count, cells, false);
+    }
+
+    /** Sends requests, one for each of the cells in turn; {@code mustRunOnce}: of a class that may not be repeated. */
+    void request(int count, int cells, boolean mustRunOnce) throws IOException {
+        String requestClass = mustRunOnce ? "dump-write" : "dump-export";
+        int patience = mustRunOnce ? WRITE_PATIENCE_MS : PATIENCE_MS;
         double now = history.now();
-        for (int i = first; i < requests; i++) {
-            history.add(new RequestSent(now, id(i), instance, false, PATIENCE_MS));
+        for (int i = 0; i < count; i++) {
+            Sent request = new Sent(name + "q" + sent.size(), requestClass, patience, sent.size() % cells);
+            sent.add(request);
+            history.add(new RequestSent(now, request.id(), instance, mustRunOnce, patience));
+        }
+        sentAt = now;
+        send(commands(0));
+    }
+
+    /** The commands of all requests, whose client waits less long by {@code elapsed} milliseconds. */
+    private String commands(int elapsed) {
+        return sent.stream().map(request -> RespClient.get(request.id(), request.requestClass(),
+            request.patience() - elapsed, request.cell())).collect(Collectors.joining());
+    }
+
+    /** Sends all requests again under the same ids on a new connection, some milliseconds later, and leaves soon. */
+    void sendAgain(InetSocketAddress address, int after) throws IOException, InterruptedException {
+        Thread.sleep(after);
+        try (RespClient again = new RespClient(address)) {
+            again.send(commands((int) (history.now() - sentAt)));
+            Thread.sleep(after);
+        } finally {
+            recordLeaving();
         }
     }
 
@@ -92,10 +121,6 @@
         }
     }
 
-    private String id(int request) {
-        return name + "q" + request;
-    }
-
     /** Sends input for some milliseconds, as fast as the socket takes it. Returns the number of bytes. */
     long sendFor(int millis, Input input) throws IOException, InterruptedException {
         channel.configureBlocking(false);
@@ -125,13 +150,19 @@
 
     /** Closes the connection and returns when. */
     double leave() throws IOException {
-        channel.configureBlocking(false);
-        discardReplies();                  // a close over unread replies resets the connection
+        try {
+            channel.configureBlocking(false);
+            discardReplies();              // a close over unread replies resets the connection
+        } catch (IOException e) {
+            // the process has ended the connection
+        }
         channel.close();
+        return recordLeaving();
+    }
+
+    private double recordLeaving() {
         double now = history.now();
-        for (int i = 0; i < requests; i++) {
-            history.add(new RequestEnded(now, id(i), Outcome.CLIENT_LEFT));
-        }
+        sent.forEach(request -> history.add(new RequestEnded(now, request.id(), Outcome.CLIENT_LEFT)));
         return now;
     }
 
--- a/src/main/java/kelphollow/lab/soak/Soak.java
+++ b/src/main/java/kelphollow/lab/soak/Soak.java
@@ -33,20 +33,26 @@
         /** Upgrades with many clients. */
         UPGRADES_WITH_CROWD(true, 24),
         /** Upgrades while some clients request long values and others send at full speed. */
-        UPGRADES_WITH_FLOODS(true, 6, 0.15);
+        UPGRADES_WITH_FLOODS(true, 6, 0.15, false),
+        /** Upgrades while groups of clients leave behind input that is not read. */
+        UPGRADES_WITH_DEPARTURES(true, 4, 0, true),
+        /** The same with many other clients. */
+        UPGRADES_WITH_DEPARTURES_AND_CROWD(true, 24, 0, true);
 
         private final boolean upgrades;
         private final int clients;
         private final double longValueShare;
+        private final boolean departures;
 
         Variant(boolean upgrades, int clients) {
-            this(upgrades, clients, 0);
+            this(upgrades, clients, 0, false);
         }
 
-        Variant(boolean upgrades, int clients, double longValueShare) {
+        Variant(boolean upgrades, int clients, double longValueShare, boolean departures) {
             this.upgrades = upgrades;
             this.clients = clients;
             this.longValueShare = longValueShare;
+            this.departures = departures;
         }
 
         /** The share of long values among the reads; where there are some, other clients flood the instances. */
@@ -81,6 +87,7 @@
     private final List<SoakNode> nodes = new ArrayList<>();
     private final List<ServeProcess> instances = new ArrayList<>();
     private final FaultInjector injector;
+    private final AtomicBoolean loadEnded = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile double lateness;
 
@@ -124,11 +131,17 @@
         if (variant.longValueShare() > 0) {
             SoakThreads.start("floods", () -> new SoakFloods(instances, new Random(plan.seed() + 2)).run(ended::get));
         }
+        Thread departures = !variant.departures ? null : SoakThreads.start("departures",
+            () -> new SoakDepartures(history, instances, plan.nodes(), new Random(plan.seed() + 3)).run(loadEnded::get));
         for (int i = 0; i < plan.instances(); i++) {
             clients.start(i, instances.get(i).address(), variant.clients, plan.seed() * 1_000 + i);
         }
         injector.inject(SoakFaults.draw(plan.seed(), plan.seconds(), plan.instances(), plan.nodes(), plan.pushed()));
+        loadEnded.set(true);
         clients.close();
+        if (departures != null) {
+            departures.join();
+        }
         discovery.recover();
         stopAll();
         ended.set(true);
--- a/src/test/java/kelphollow/lab/soak/FaultSoakTest.java
+++ b/src/test/java/kelphollow/lab/soak/FaultSoakTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Runs real processes under overlapping faults: two runs with restarts and two with upgrades, at the same time.
+ * Runs real processes under overlapping faults: two runs with restarts and three with upgrades, at the same time.
  * The command {@code soak} does longer runs with many seeds.
  */
 @Timeout(120)
@@ -47,7 +47,8 @@
         List<Callable<Void>> plans = List.of(() -> runSoak(restarts(4, false), Soak.Variant.RESTARTS),
             () -> runSoak(restarts(3, true), Soak.Variant.RESTARTS),
             () -> runSoak(upgrades(14, false), Soak.Variant.UPGRADES),
-            () -> runSoak(upgrades(13, true), Soak.Variant.UPGRADES_WITH_CROWD));
+            () -> runSoak(upgrades(13, true), Soak.Variant.UPGRADES_WITH_CROWD),
+            () -> runSoak(upgrades(73, false), Soak.Variant.UPGRADES_WITH_DEPARTURES));
         ExecutorService runs = Executors.newFixedThreadPool(plans.size());
         try {
             for (Future<Void> run : runs.invokeAll(plans)) {
