--- a/src/main/java/kelphollow/protocol/resp/RequestRegistration.java
+++ b/src/main/java/kelphollow/protocol/resp/RequestRegistration.java
@@ -16,6 +16,11 @@
         this.id = id;
     }
 
+    /** Whether registering the request takes time, since other processes see it. */
+    boolean isShared() {
+        return ids != null;
+    }
+
     /** An attempt is forwarded now; returns false if a request with this id may have run already. */
     boolean forwarded() {
         if (ids != null && attempts == 0 && !ids.add(id)) {
--- a/src/main/java/kelphollow/protocol/resp/RespExchange.java
+++ b/src/main/java/kelphollow/protocol/resp/RespExchange.java
@@ -68,6 +68,11 @@
             return;
         }
         isRegistered = true;
+        if (request().registration().isShared() && !attempt.maySend()) {     // a file was written meanwhile
+            established.release();
+            end(AttemptResult.of(AttemptOutcome.NOT_SENT));
+            return;
+        }
         commandWritten = established.channel().writeAndFlush(request().command().forNode(attempt.remaining()));
         attempt.firstByteWritten();
     }
