A request's time counts from when its last byte was read, not from when it is handled

A command that waits in the process behind the throttle or behind invalid ones (50 ms each) was given its whole time when it was handled, so that its node was told more than its client had left and its answer came late.

Change: InboundPacer keeps when each piece of input was read; the arrival of a command is that of its last byte.

LateArrivalTest, a request behind 12 invalid commands: before, the node was told d=3000 with 2,600 ms left; passes now. A request whose time is over before it is handled gets an error and is not forwarded.

--- a/src/main/java/kelphollow/protocol/resp/DecodedCommands.java
+++ b/src/main/java/kelphollow/protocol/resp/DecodedCommands.java
@@ -14,8 +14,9 @@
      *
      * @param message the decoded message; null if there was no memory for it
      * @param bytes what it occupies in the connection's {@link CommandMemory}
+     * @param readAt clock time at which its last byte was read from the socket
      */
-    record Command(RedisMessage message, int bytes) {
+    record Command(RedisMessage message, int bytes, double readAt) {
         boolean isRejected() {
             return message == null;
         }
@@ -35,14 +36,14 @@
     }
 
     /** Adds a command whose content was counted while it was incomplete, or a place for one that does not fit. */
-    void add(RedisMessage message) {
+    void add(RedisMessage message, double readAt) {
         int occupied = memory.endIncomplete() + OBJECT_BYTES;
         if (memory.accept(occupied)) {
-            commands.add(new Command(message, occupied));
+            commands.add(new Command(message, occupied, readAt));
             bytes += occupied;
         } else {
             ReferenceCountUtil.release(message);
-            commands.add(new Command(null, 0));
+            commands.add(new Command(null, 0, readAt));
         }
     }
 
--- a/src/main/java/kelphollow/protocol/resp/InboundPacer.java
+++ b/src/main/java/kelphollow/protocol/resp/InboundPacer.java
@@ -22,14 +22,21 @@
     private static final int BUFFER_BYTES = 128;
     /** Some 70 of the smallest commands. */
     private static final int SLICE_BYTES = 1024;
+
+    /** Input that was read from the socket at a clock time. */
+    private record HeldInput(ByteBuf bytes, double readAt) {}
+
+    private final Ticker ticker;
     private final ClientMemory memory;
     private final Runnable whenRead;
     private final ReadProgress progress;
-    private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
+    private final ArrayDeque<HeldInput> held = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private int heldBytes;
     /** What is counted in {@link #memory}. */
     private long countedBytes;
+    /** Clock time at which the slice that was decoded last had been read. */
+    private double readAt;
     private boolean discarding;
 
     /**
@@ -39,6 +46,7 @@
      * @param whenRead runs after each read of the socket
      */
     InboundPacer(Ticker ticker, ClientMemory memory, Runnable whenRead) {
+        this.ticker = ticker;
         this.memory = memory;
         this.whenRead = whenRead;
         this.progress = new ReadProgress(ticker, this::hasRoom);
@@ -68,7 +76,7 @@
     }
 
     private void hold(ByteBuf bytes) {
-        held.add(bytes);
+        held.add(new HeldInput(bytes, ticker.now()));
         heldBytes += bytes.readableBytes();
         count(bytes.readableBytes() + BUFFER_BYTES);
     }
@@ -102,23 +110,29 @@
         return held.isEmpty();
     }
 
+    /** Clock time at which the input that is being decoded was read from the socket. */
+    double readAt() {
+        return readAt;
+    }
+
     int heldBytes() {
         return heldBytes;
     }
 
     /** Passes the next slice to the decoder; returns how many bytes it has, or 0 if nothing is held. */
     int decodeNext() {
-        ByteBuf first = held.peek();
-        if (first == null) {
+        if (held.isEmpty()) {
             return 0;
         }
+        ByteBuf first = held.peek().bytes();
+        readAt = held.peek().readAt();
         int length = Math.min(SLICE_BYTES, first.readableBytes());
         ByteBuf slice = first.readRetainedSlice(length);
         heldBytes -= length;
         release(length);
         if (!first.isReadable()) {
             release(BUFFER_BYTES);
-            held.remove().release();
+            held.remove().bytes().release();
         }
         context.fireChannelRead(slice);
         return length;
@@ -129,8 +143,8 @@
         discarding = true;
         heldBytes = 0;
         release(countedBytes);
-        for (ByteBuf bytes; (bytes = held.poll()) != null;) {
-            bytes.release();
+        for (HeldInput input; (input = held.poll()) != null;) {
+            input.bytes().release();
         }
     }
 }
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -127,7 +127,7 @@
         if (inputDiscarded) {
             ReferenceCountUtil.release(message);
         } else {
-            decoded.add((RedisMessage) message);
+            decoded.add((RedisMessage) message, input.readAt());
         }
     }
 
@@ -255,7 +255,7 @@
         switch (name.toUpperCase(Locale.ROOT)) {
             case "PING" -> slot.reply(new SimpleStringRedisMessage("PONG"));
             case "CLIENT", "SELECT" -> slot.reply(new SimpleStringRedisMessage("OK"));
-            case RespWireNames.GET, RespWireNames.PUT -> submit(slot, (ArrayRedisMessage) message, command.bytes());
+            case RespWireNames.GET, RespWireNames.PUT -> submit(slot, command);
             default -> invalid(slot, "unknown command");
         }
     }
@@ -266,18 +266,18 @@
         return slot;
     }
 
-    private void submit(ReplySlot slot, ArrayRedisMessage message, int bytes) {
+    private void submit(ReplySlot slot, DecodedCommands.Command decodedCommand) {
         RespCommand command;
         RequestArrived arrival;
         try {
-            command = RespCommand.read(message.children());
-            arrival = intake.open(command, ticker.now());
+            command = RespCommand.read(((ArrayRedisMessage) decodedCommand.message()).children());
+            arrival = intake.open(command, decodedCommand.readAt());
         } catch (MalformedCommandException e) {
             invalid(slot, printable(e.getMessage()));
             return;
         }
         slot.reserve(command.idText());
-        if (!mayForward(slot) || !slot.countMemory(bytes)) {
+        if (!mayForward(slot) || !slot.countMemory(decodedCommand.bytes())) {
             slot.rejected(0, false);
         } else {
             slot.submit(arrival, command);
--- a/src/test/java/kelphollow/program/LateArrivalTest.java
+++ b/src/test/java/kelphollow/program/LateArrivalTest.java
@@ -1,5 +1,6 @@
 package kelphollow.program;
 
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
@@ -19,6 +20,9 @@
         + "\r\n";
     private static final int LATE_BY_MS = 400;
     private static final int SLACK_MS = 150;
+    /** Each of these after the third delays the next command by 50 ms. */
+    private static final int INVALID_COMMANDS = 12;
+    private static final int WAITED_MS = 8 * 50;
 
     @Test void theTimeToldToANodeLeavesOutTheTimeThatTheRequestLayUnread() throws Exception {
         try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
@@ -38,4 +42,36 @@
                 + " ms");
         }
     }
+
+    @Test void theTimeToldToANodeLeavesOutTheTimeThatTheRequestWaitedBehindInvalidCommands() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             ServerHarness harness = ServerHarness.resp(null, node.address())) {
+            ScriptedPeer.Connection client = clients.connect(harness.address);
+            client.send("*1\r\n$3\r\nNOP\r\n".repeat(INVALID_COMMANDS) + REQUEST).until("\r\n");
+            harness.runFor(2 * WAITED_MS);
+
+            Matcher told = TIME_LEFT.matcher(node.accept().until("hosts=1\r\n"));
+
+            assertTrue(told.find());
+            int left = PATIENCE_MS - WAITED_MS;
+            assertTrue(Integer.parseInt(told.group(1)) <= left + SLACK_MS, told.group() + ", its client has " + left
+                + " ms");
+        }
+    }
+
+    @Test void aRequestWhoseTimeIsOverBeforeItIsHandledIsAnsweredAndNotForwarded() throws Exception {
+        try (ScriptedPeer node = new ScriptedPeer(); ScriptedPeer clients = new ScriptedPeer();
+             ServerHarness harness = ServerHarness.resp(null, node.address())) {
+            int invalid = 10 * INVALID_COMMANDS;
+            ScriptedPeer.Connection client = clients.connect(harness.address);
+            client.send("*1\r\n$3\r\nNOP\r\n".repeat(invalid) + REQUEST);
+            for (int i = 0; i < invalid; i++) {
+                client.until("\r\n");
+                harness.runFor(WAITED_MS / 8);
+            }
+
+            assertTrue(client.until("\r\n").startsWith("-"));
+            assertNull(node.acceptIfAny());
+        }
+    }
 }
