--- a/src/main/java/kelphollow/lab/soak/ServeProcess.java
+++ b/src/main/java/kelphollow/lab/soak/ServeProcess.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import kelphollow.lab.Ports;
 
 /**
@@ -48,6 +49,9 @@
         + "\"value_factor\":0.8,\"ceiling_rate\":" + LIMIT_RATE + ",\"limit_burst\":" + LIMIT_BURST + ",\"tolerance\":"
         + LIMIT_TOLERANCE + "}]";
 
+    /** How the line of a process's status begins that has the greatest resident size. */
+    private static final String PEAK_MEMORY = "VmHWM:";
+
     private static final Ports PORTS = new Ports();
 
     private final Path folder;
@@ -223,6 +227,14 @@
         }
     }
 
+    /** The most memory that the newest process has occupied, in KiB. */
+    long peakMemoryKib() throws IOException {
+        try (Stream<String> lines = Files.lines(Path.of("/proc/" + pid() + "/status"))) {
+            String peak = lines.filter(line -> line.startsWith(PEAK_MEMORY)).findFirst().orElseThrow();
+            return Long.parseLong(peak.replaceAll("\\D", ""));
+        }
+    }
+
     /** Start of the newest process, on the history's clock. */
     double startedAt() {
         return run.startedAt();
