--- a/src/main/java/kelphollow/lab/soak/LoopbackAddress.java
+++ b/src/main/java/kelphollow/lab/soak/LoopbackAddress.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Addresses of 127.0.0.0/8 for the fake parties of a run. Each party has its own, so that a process with an old list does not
- * reach a party of another run that has drawn the same port.
+ * Addresses of 127.0.0.0/8 for the fake parties of a run. Each party has its own, so that a process with an old list does
+ * not reach a party of another run that has drawn the same port.
  */
 final class LoopbackAddress {
     private static final int FIRST_SECOND_OCTET = 16;
--- a/src/main/java/kelphollow/protocol/resp/RespConnection.java
+++ b/src/main/java/kelphollow/protocol/resp/RespConnection.java
@@ -284,7 +284,10 @@
         }
     }
 
-    /** With unread input the client may have left already, with much of it the client floods; and a reply that would have to be held needs room. */
+    /**
+     * With unread input the client may have left already, and with much of it the client sends faster than it is served. A
+     * reply that would have to be held needs room.
+     */
     private boolean mayForward(ReplySlot slot) {
         return input.progress().isDrained() && !input.isBacklogged() && openRequests < MAX_OPEN_REQUESTS && (replies.isNext(
             slot)
--- a/src/test/java/kelphollow/lab/LabTest.java
+++ b/src/test/java/kelphollow/lab/LabTest.java
@@ -29,7 +29,7 @@
     private static final List<String> DEFAULT_SCENARIOS = List.of("crash.json", "drain.json", "failing-nodes.json",
         "halves.json",
         "silent-node.json", "stopped.json", "uneven-broken.json");
-    private static final int SCENARIOS_AT_ONCE = 2;
+    private static final int SCENARIOS_AT_ONCE = 3;
     @TempDir
     Path folder;
 
--- a/src/test/java/kelphollow/lab/soak/RepeatedIdTest.java
+++ b/src/test/java/kelphollow/lab/soak/RepeatedIdTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.parallel.ExecutionMode.CONCURRENT;
 
 import java.nio.file.Path;
 import org.junit.jupiter.api.BeforeEach;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
 
 /** Guards against a write running twice, because its id came again after its client had left. */
 @Timeout(60)
@@ -69,29 +71,30 @@
         assertEquals(1, arrivals(), "arrivals at the node");
     }
 
-    @Test void aWriteIsNotForwardedAgainAfterItsClientLeft() throws Exception {
+    @Test @Execution(CONCURRENT) void aWriteIsNotForwardedAgainAfterItsClientLeft() throws Exception {
         sendAndLeave();
         assertRunsOnceWhenSentAgain();
     }
 
-    @Test void aWriteIsNotForwardedAgainByTheNextProcessOfAnUpgrade() throws Exception {
+    @Test @Execution(CONCURRENT) void aWriteIsNotForwardedAgainByTheNextProcessOfAnUpgrade() throws Exception {
         sendAndLeave();
         instance.upgrade();
         assertRunsOnceWhenSentAgain();
     }
 
-    @Test void aWriteIsNotForwardedAgainAfterItsClientLeftBehindUnreadInput() throws Exception {
+    @Test @Execution(CONCURRENT) void aWriteIsNotForwardedAgainAfterItsClientLeftBehindUnreadInput() throws Exception {
         sendAndLeaveBehindUnreadInput();
         assertRunsOnceWhenSentAgain();
     }
 
-    @Test void aWriteIsNotForwardedAgainByTheNextProcessAfterItsClientLeftBehindUnreadInput() throws Exception {
+    @Test @Execution(CONCURRENT) void aWriteIsNotForwardedAgainByTheNextProcessAfterItsClientLeftBehindUnreadInput()
+        throws Exception {
         sendAndLeaveBehindUnreadInput();
         instance.upgrade();
         assertRunsOnceWhenSentAgain();
     }
 
-    @Test void aWriteIsNotForwardedAgainByTheNextProcessWhileTheOtherStillServes() throws Exception {
+    @Test @Execution(CONCURRENT) void aWriteIsNotForwardedAgainByTheNextProcessWhileTheOtherStillServes() throws Exception {
         instance.startSuccessor();
         sendAndLeaveBehindUnreadInput();
         instance.process().terminatePredecessor();
--- a/src/test/java/kelphollow/lab/soak/UnreadInputDepartureTest.java
+++ b/src/test/java/kelphollow/lab/soak/UnreadInputDepartureTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.parallel.ExecutionMode.CONCURRENT;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
 
 /** Guards against forwarding requests, first or again, whose client has closed its connection behind unread input. */
 @Timeout(60)
@@ -92,39 +94,40 @@
         return late;
     }
 
-    @Test void requestsAreNotForwardedOnceTheirClientLeftBehindPings() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTheirClientLeftBehindPings() throws Exception {
         assertNothingIsForwardedLate(1, Input.PINGS, true);
     }
 
-    @Test void requestsAreNotForwardedOnceTheirClientLeftBehindUnknownCommands() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTheirClientLeftBehindUnknownCommands() throws Exception {
         assertNothingIsForwardedLate(1, Input.UNKNOWN_COMMANDS, true);
     }
 
-    @Test void requestsAreNotForwardedOnceTheirClientLeftBehindUnknownClasses() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTheirClientLeftBehindUnknownClasses() throws Exception {
         assertNothingIsForwardedLate(1, Input.UNKNOWN_CLASSES, true);
     }
 
-    @Test void requestsAreNotForwardedOnceTheirClientLeftBehindLongCommands() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTheirClientLeftBehindLongCommands() throws Exception {
         assertNothingIsForwardedLate(1, Input.LONG_COMMANDS, true);
     }
 
-    @Test void requestsAreNotForwardedOnceTheirClientLeftWithoutReadingReplies() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTheirClientLeftWithoutReadingReplies() throws Exception {
         assertNothingIsForwardedLate(1, Input.UNKNOWN_CLASSES, false);
     }
 
-    @Test void requestsAreNotForwardedOnceTenClientsLeftBehindPings() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceTenClientsLeftBehindPings() throws Exception {
         assertNothingIsForwardedLate(10, Input.PINGS, true);
     }
 
-    @Test void requestsAreNotForwardedOnceAHundredClientsLeftBehindUnknownClasses() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceAHundredClientsLeftBehindUnknownClasses() throws Exception {
         assertNothingIsForwardedLate(100, Input.UNKNOWN_CLASSES, true);
     }
 
-    @Test void requestsAreNotForwardedOnceAThousandClientsLeftBehindUnknownClasses() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedOnceAThousandClientsLeftBehindUnknownClasses()
+        throws Exception {
         assertNothingIsForwardedLate(1_000, Input.UNKNOWN_CLASSES, true);
     }
 
-    @Test void requestsAreNotForwardedByALateLoopOnceTheirClientsLeft() throws Exception {
+    @Test @Execution(CONCURRENT) void requestsAreNotForwardedByALateLoopOnceTheirClientsLeft() throws Exception {
         try (SingleInstance instance = SingleInstance.start(folder, NODES, 73)) {
             setMode(instance, SoakNode.Mode.REJECTS);
             List<Double> leftAt = new ArrayList<>();
